Add the protocol and configuration packages

Cause: the repository was empty; every later package needs one vocabulary and one model of what operators accept.

--- /dev/null
+++ b/crates/sequoiagw-config/src/setting_name.rs
@@ -0,0 +1,175 @@
+//! Settings that have a fleet default and may be overridden by exceptions.
+
+use std::time::Duration;
+
+use derive_more::Display;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Name of a setting.
+#[derive(
+    Clone, Copy, Debug, Display, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(rename_all = "snake_case")]
+#[display(rename_all = "snake_case")]
+pub enum SettingName {
+    /// Time a call may take when its caller sets no deadline.
+    Timeout,
+    /// Further tries of one call after the first.
+    Retries,
+    /// Share of a service's calls that may be retries.
+    RetryBudget,
+    /// Calls that may wait at one target.
+    QueueLimit,
+    /// Load per slot above which calls go to other data centres.
+    SpillLoad,
+    /// Largest request body in bytes.
+    MaxBodyBytes,
+    /// Time for which an idempotency key is remembered.
+    KeyWindow,
+    /// Slots of each target that only the most urgent rank may take.
+    ReservedSlots,
+}
+
+/// All setting names.
+pub const SETTING_NAMES: &[SettingName] = &[
+    SettingName::Timeout,
+    SettingName::Retries,
+    SettingName::RetryBudget,
+    SettingName::QueueLimit,
+    SettingName::SpillLoad,
+    SettingName::MaxBodyBytes,
+    SettingName::KeyWindow,
+    SettingName::ReservedSlots,
+];
+
+/// A value as it stands in the TOML text.
+#[derive(Clone, Debug, Display, PartialEq, Serialize, Deserialize)]
+#[serde(untagged)]
+pub enum RawValue {
+    /// Whole number.
+    Integer(i64),
+    /// Decimal number.
+    Float(f64),
+    /// Text, such as a duration.
+    #[display("\"{_0}\"")]
+    Text(String),
+}
+
+/// A checked value.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SettingValue {
+    /// Span of time.
+    Span(Duration),
+    /// Whole number.
+    Count(u64),
+    /// Ratio.
+    Ratio(f64),
+}
+
+impl std::fmt::Display for SettingValue {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Span(span) => humantime::format_duration(*span).fmt(formatter),
+            Self::Count(count) => count.fmt(formatter),
+            Self::Ratio(ratio) => ratio.fmt(formatter),
+        }
+    }
+}
+
+impl SettingValue {
+    /// The span; zero for other kinds.
+    pub fn span(self) -> Duration {
+        match self {
+            Self::Span(span) => span,
+            Self::Count(_) | Self::Ratio(_) => Duration::ZERO,
+        }
+    }
+
+    /// The count; zero for other kinds.
+    pub fn count(self) -> u64 {
+        match self {
+            Self::Count(count) => count,
+            Self::Span(_) | Self::Ratio(_) => 0,
+        }
+    }
+
+    /// The ratio; zero for other kinds.
+    pub fn ratio(self) -> f64 {
+        match self {
+            Self::Ratio(ratio) => ratio,
+            Self::Span(_) | Self::Count(_) => 0.0,
+        }
+    }
+}
+
+impl SettingName {
+    /// Value in force when the configuration names no default.
+    pub fn built_in(self) -> SettingValue {
+        match self {
+            Self::Timeout => SettingValue::Span(Duration::from_secs(2)),
+            Self::Retries => SettingValue::Count(2),
+            Self::RetryBudget => SettingValue::Ratio(0.1),
+            Self::QueueLimit => SettingValue::Count(64),
+            Self::SpillLoad => SettingValue::Ratio(1.5),
+            Self::MaxBodyBytes => SettingValue::Count(1024 * 1024),
+            Self::KeyWindow => SettingValue::Span(Duration::from_secs(15 * 60)),
+            Self::ReservedSlots => SettingValue::Count(1),
+        }
+    }
+
+    /// What the setting allows, for messages.
+    pub fn expected(self) -> &'static str {
+        match self {
+            Self::Timeout => "a duration from 1ms to 10m, such as \"2s\"",
+            Self::Retries => "a whole number from 0 to 10",
+            Self::RetryBudget => "a ratio from 0.0 to 1.0",
+            Self::QueueLimit => "a whole number from 0 to 100000",
+            Self::SpillLoad => "a ratio from 0.1 to 100.0",
+            Self::MaxBodyBytes => "a whole number of bytes from 0 to 2097152",
+            Self::KeyWindow => "a duration from 1m to 1day, such as \"15m\"",
+            Self::ReservedSlots => "a whole number from 0 to 64",
+        }
+    }
+
+    /// Checks a raw value; `None` when it is outside what is allowed.
+    pub fn check(self, raw: &RawValue) -> Option<SettingValue> {
+        match self {
+            Self::Timeout => span_within(raw, Duration::from_millis(1), Duration::from_secs(600)),
+            Self::Retries => count_within(raw, 10),
+            Self::RetryBudget => ratio_within(raw, 0.0, 1.0),
+            Self::QueueLimit => count_within(raw, 100_000),
+            Self::SpillLoad => ratio_within(raw, 0.1, 100.0),
+            Self::MaxBodyBytes => count_within(raw, 2 * 1024 * 1024),
+            Self::KeyWindow => {
+                span_within(raw, Duration::from_secs(60), Duration::from_secs(86_400))
+            }
+            Self::ReservedSlots => count_within(raw, 64),
+        }
+    }
+}
+
+fn span_within(raw: &RawValue, least: Duration, most: Duration) -> Option<SettingValue> {
+    let RawValue::Text(text) = raw else {
+        return None;
+    };
+    let span = humantime::parse_duration(text).ok()?;
+    (least..=most).contains(&span).then_some(SettingValue::Span(span))
+}
+
+fn count_within(raw: &RawValue, most: u64) -> Option<SettingValue> {
+    let RawValue::Integer(integer) = raw else {
+        return None;
+    };
+    let count = u64::try_from(*integer).ok()?;
+    (count <= most).then_some(SettingValue::Count(count))
+}
+
+fn ratio_within(raw: &RawValue, least: f64, most: f64) -> Option<SettingValue> {
+    let ratio = match raw {
+        RawValue::Float(float) => *float,
+        RawValue::Integer(integer) => *integer as f64,
+        RawValue::Text(_) => return None,
+    };
+    (least..=most).contains(&ratio).then_some(SettingValue::Ratio(ratio))
+}
--- /dev/null
+++ b/crates/sequoiagw-config/src/source_position.rs
@@ -0,0 +1,29 @@
+//! Position of a key in a TOML text.
+
+use toml_edit::Document;
+use toml_edit::Item;
+
+/// Finds the line and column, both from 1, of the key at a dotted path.
+///
+/// Falls back to the nearest enclosing table that stands in the text.
+pub fn locate_key(source: &str, path: &str) -> Option<(usize, usize)> {
+    let document = Document::parse(source).ok()?;
+    let mut item: &Item = document.as_item();
+    let mut offset = None;
+    for part in path.split('.') {
+        let Some((key, next)) = item.as_table_like().and_then(|table| table.get_key_value(part))
+        else {
+            break;
+        };
+        offset = key.span().or_else(|| next.span()).map(|span| span.start).or(offset);
+        item = next;
+    }
+    offset.map(|offset| position_of(source, offset))
+}
+
+fn position_of(source: &str, offset: usize) -> (usize, usize) {
+    let before = &source[..offset.min(source.len())];
+    let line = before.matches('\n').count() + 1;
+    let column = before.rsplit('\n').next().map_or(0, |text| text.chars().count()) + 1;
+    (line, column)
+}
--- /dev/null
+++ b/crates/sequoiagw-protocol/src/lib.rs
@@ -0,0 +1,30 @@
+//! Shared vocabulary of the system's processes: identities, ranks, error kinds,
+//! inner messages and their framing. This package depends on no sibling.
+
+mod call_message;
+mod config_message;
+mod error_kind;
+mod frame_codec;
+mod member_message;
+mod node_identity;
+mod peer_frame;
+mod rank_level;
+
+pub use call_message::*;
+pub use config_message::*;
+pub use error_kind::AnswerRule;
+pub use error_kind::ErrorKind;
+pub use error_kind::RanState;
+pub use error_kind::ERROR_KINDS;
+pub use frame_codec::FrameCodec;
+pub use frame_codec::FrameError;
+pub use frame_codec::MAX_FRAME_BYTES;
+pub use frame_codec::WIRE_VERSION;
+pub use member_message::*;
+pub use node_identity::NodeAddress;
+pub use node_identity::NodeId;
+pub use peer_frame::FrameBody;
+pub use peer_frame::FrameKind;
+pub use peer_frame::PeerFrame;
+pub use peer_frame::FRAME_KINDS;
+pub use rank_level::RankLevel;
