Add membership, distribution, node and stand-ins; calls pass end to end in one process

Change: the state machines of membership and versions, holders and claims; the node that joins them; TCP links, HTTP edge, administration API; stand-ins for store, backend server and links.

--- a/crates/sequoiagw-config/src/accepted_config.rs
+++ b/crates/sequoiagw-config/src/accepted_config.rs
@@ -2,6 +2,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use serde_json::Value;
 
 use crate::ConfigError;
 use crate::MeshConfig;
@@ -31,6 +32,8 @@
     pub tree: SettingTree,
     /// Changes from the parent.
     pub changes: Vec<TreeChange>,
+    /// The parent's values of the changed paths, in the order of the changes.
+    pub previous: Vec<Option<Value>>,
 }
 
 impl AcceptedConfig {
@@ -41,6 +44,9 @@
             || SettingTree::default().changes_to(&tree),
             |parent| parent.tree.changes_to(&tree),
         );
+        let before =
+            |change: &TreeChange| parent.and_then(|parent| parent.tree.get(&change.path).cloned());
+        let previous = changes.iter().map(before).collect();
         Self {
             version: parent.map_or(1, |parent| parent.version + 1),
             change_id: String::new(),
@@ -50,6 +56,7 @@
             checksum: tree.checksum(),
             tree,
             changes,
+            previous,
         }
     }
 
--- /dev/null
+++ b/crates/sequoiagw-distribution/src/lib.rs
@@ -0,0 +1,30 @@
+//! What goes through the platform's store: accepted versions and their spread to every
+//! node, the holders that watch the store, and claims on idempotency keys.
+//!
+//! The machines do no I/O and take the clock's reading with each event.
+
+mod claim_committer;
+mod config_writer;
+mod holder_machine;
+mod store_keys;
+mod version_holding;
+mod version_machine;
+mod write_error;
+
+pub use claim_committer::ClaimAction;
+pub use claim_committer::ClaimCommitter;
+pub use config_writer::ConfigChange;
+pub use config_writer::ConfigWriter;
+pub use config_writer::ReadConfig;
+pub use holder_machine::HolderAction;
+pub use holder_machine::HolderIdentity;
+pub use holder_machine::HolderMachine;
+pub use holder_machine::HolderSight;
+pub use store_keys::StoreKeys;
+pub use store_keys::HEAD_KEY;
+pub use store_keys::SEAT_COUNT;
+pub use version_holding::HeldVersion;
+pub use version_machine::VersionAction;
+pub use version_machine::VersionMachine;
+pub use version_machine::VersionPeers;
+pub use write_error::WriteError;
--- /dev/null
+++ b/crates/sequoiagw-node/src/admin_service.rs
@@ -0,0 +1,225 @@
+//! What the administration API does, on the node's own runtime.
+
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use sequoiagw_config::MeshConfig;
+use sequoiagw_distribution::ConfigChange;
+use sequoiagw_distribution::ConfigWriter;
+use sequoiagw_distribution::WriteError;
+use tracing::info;
+
+use crate::BackendInfo;
+use crate::NodeHandle;
+use crate::ProblemBody;
+
+/// A request to the administration API, checked and read.
+#[derive(Clone, Debug)]
+pub(crate) enum AdminRequest {
+    /// Whether the process runs.
+    Health,
+    /// Whether the node takes callers' requests.
+    Readiness,
+    /// Status of the node and its members.
+    Status,
+    /// Counters.
+    Counters,
+    /// The newest accepted configuration.
+    ReadConfig,
+    /// Past changes.
+    History,
+    /// Accept a configuration.
+    WriteConfig {
+        /// TOML text.
+        source: String,
+        /// Version it was made from.
+        base: u64,
+        /// Unique id of the change.
+        change_id: String,
+        /// Who changes.
+        author: String,
+        /// Why.
+        message: String,
+    },
+    /// The backend server announces itself.
+    Announce(BackendInfo),
+    /// The backend server takes its announcement back.
+    Withdraw,
+    /// Start to leave.
+    Drain,
+}
+
+/// A reply of the administration API.
+#[derive(Clone, Debug)]
+pub(crate) struct AdminReply {
+    pub(crate) status: u16,
+    pub(crate) content_type: &'static str,
+    pub(crate) version: Option<u64>,
+    pub(crate) body: String,
+}
+
+impl AdminReply {
+    fn json<Shown>(status: u16, shown: &Shown) -> Self
+    where
+        Shown: serde::Serialize,
+    {
+        let body = serde_json::to_string(shown).unwrap_or_default();
+        Self {
+            status,
+            content_type: "application/json",
+            version: None,
+            body,
+        }
+    }
+
+    fn text(status: u16, body: &str) -> Self {
+        let body = body.to_owned();
+        Self {
+            status,
+            content_type: "text/plain; charset=utf-8",
+            version: None,
+            body,
+        }
+    }
+
+    /// A problem, RFC 9457.
+    pub(crate) fn problem(status: u16, name: &str, detail: &str) -> Self {
+        let body = ProblemBody::new(status, name, detail).to_json();
+        let content_type = crate::problem_body::PROBLEM_TYPE;
+        Self {
+            status,
+            content_type,
+            version: None,
+            body,
+        }
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn answer_admin(handle: &NodeHandle, request: AdminRequest) -> AdminReply {
+    match request {
+        AdminRequest::Health => AdminReply::text(200, "running\n"),
+        AdminRequest::Readiness => readiness(handle),
+        AdminRequest::Status => AdminReply::json(200, &handle.status()),
+        AdminRequest::Counters => AdminReply::json(200, &handle.counters().totals()),
+        AdminRequest::ReadConfig => read_config(handle).await,
+        AdminRequest::History => read_history(handle).await,
+        AdminRequest::WriteConfig {
+            source,
+            base,
+            change_id,
+            author,
+            message,
+        } => {
+            let config = match MeshConfig::from_toml(&source) {
+                Ok(config) => config,
+                Err(error) => return write_problem(&WriteError::Invalid(error)),
+            };
+            let now_ms = unix_ms();
+            let change = ConfigChange {
+                config,
+                base,
+                change_id,
+                author,
+                message,
+                now_ms,
+            };
+            write_config(handle, &change).await
+        }
+        AdminRequest::Announce(info) => {
+            handle.announce(info);
+            AdminReply::text(200, "announced\n")
+        }
+        AdminRequest::Withdraw => {
+            handle.withdraw();
+            AdminReply::text(200, "withdrawn\n")
+        }
+        AdminRequest::Drain => {
+            handle.drain();
+            AdminReply::text(202, "draining\n")
+        }
+    }
+}
+
+fn readiness(handle: &NodeHandle) -> AdminReply {
+    let (ready, draining) = handle.read(|core| (core.is_ready(), core.is_draining()));
+    if ready && !draining {
+        return AdminReply::text(200, "ready\n");
+    }
+    let detail = if draining {
+        "the node is leaving"
+    } else {
+        "no version is in force yet"
+    };
+    AdminReply::problem(503, "not_ready", detail)
+}
+
+async fn read_config(handle: &NodeHandle) -> AdminReply {
+    let read = match ConfigWriter::new(handle.store()).read().await {
+        Ok(read) => read,
+        Err(error) => return write_problem(&error),
+    };
+    let config = match read
+        .accepted
+        .as_ref()
+        .map(|accepted| accepted.tree.to_config())
+    {
+        Some(Ok(config)) => config,
+        Some(Err(error)) => return write_problem(&WriteError::Invalid(error)),
+        None => MeshConfig::default(),
+    };
+    match config.to_toml() {
+        Ok(text) => AdminReply {
+            status: 200,
+            content_type: "application/toml",
+            version: Some(read.version()),
+            body: text,
+        },
+        Err(error) => write_problem(&WriteError::Invalid(error)),
+    }
+}
+
+async fn read_history(handle: &NodeHandle) -> AdminReply {
+    match ConfigWriter::new(handle.store()).history().await {
+        Ok(history) => AdminReply::json(200, &history),
+        Err(error) => write_problem(&error),
+    }
+}
+
+async fn write_config(handle: &NodeHandle, change: &ConfigChange) -> AdminReply {
+    match ConfigWriter::new(handle.store()).apply(change).await {
+        Ok(accepted) => {
+            info!(
+                event = "change_accepted", version = accepted.version,
+                author = %accepted.author, change_id = %accepted.change_id
+            );
+            handle.counters().count("change.accepted");
+            let version = Some(accepted.version);
+            AdminReply {
+                version,
+                ..AdminReply::json(200, &accepted.history_entry())
+            }
+        }
+        Err(error) => {
+            handle.counters().refused(error.name());
+            write_problem(&error)
+        }
+    }
+}
+
+fn write_problem(error: &WriteError) -> AdminReply {
+    let status = match error {
+        WriteError::Invalid(_) => 422,
+        WriteError::Conflict { .. } | WriteError::BaseUnknown { .. } => 412,
+        WriteError::Unconfirmed { .. } | WriteError::Unread(_) => 503,
+        WriteError::Unchanged(_) => 409,
+    };
+    AdminReply::problem(status, error.name(), &error.to_string())
+}
+
+/// Time in Unix milliseconds.
+pub(crate) fn unix_ms() -> u64 {
+    SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .map_or(0, |time| time.as_millis() as u64)
+}
--- /dev/null
+++ b/crates/sequoiagw-node/src/core_action.rs
@@ -0,0 +1,51 @@
+//! Actions that the core wants done.
+
+use std::sync::Arc;
+
+use sequoiagw_config::SnapshotTable;
+use sequoiagw_policy::CallerReply;
+use sequoiagw_policy::RunId;
+use sequoiagw_policy::RunRequest;
+use sequoiagw_protocol::NodeAddress;
+use sequoiagw_protocol::PeerFrame;
+use sequoiagw_store::StoreRequest;
+
+/// What a call to the store is for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum StoreTag {
+    /// The holder's seat and head.
+    Holder,
+    /// Claims on idempotency keys.
+    Claims,
+    /// Entry points for a fresh node.
+    EntryPoints,
+    /// The newest version in full.
+    Current,
+    /// The changes of one version.
+    History(u64),
+}
+
+/// Something to be done at an edge of the node.
+#[derive(Debug)]
+pub enum CoreAction {
+    /// Send a frame to a peer.
+    Send(NodeAddress, Box<PeerFrame>),
+    /// Replace the link to a peer.
+    ResetLink(NodeAddress),
+    /// Run a call at the backend server.
+    Run(Box<RunRequest>),
+    /// Abort a run.
+    Abort(RunId),
+    /// Call the store.
+    Store(StoreTag, StoreRequest),
+    /// Watch the head key from a revision on.
+    Watch(u64),
+    /// End the watch.
+    Unwatch,
+    /// Answer a caller.
+    Reply(u64, CallerReply),
+    /// A version came into force.
+    Activated(Arc<SnapshotTable>),
+    /// Everything is done; the process may end.
+    Stopped,
+}
--- /dev/null
+++ b/crates/sequoiagw-node/src/lib.rs
@@ -0,0 +1,51 @@
+//! The node: one process on each backend server host.
+//!
+//! [`NodeCore`] joins the decisions of the other packages and does no I/O. [`NodeHandle`]
+//! runs it on the current thread's runtime, with the platform's store, the links and the
+//! backend server behind the traits of [`edge`](crate::PeerLinks).
+
+mod admin_api;
+mod admin_service;
+mod backend_client;
+mod core_action;
+mod core_event;
+mod counter_board;
+mod http_edge;
+mod http_headers;
+mod node_core;
+mod node_edges;
+mod node_handle;
+mod node_process;
+mod node_settings;
+mod node_status;
+mod problem_body;
+mod settings_error;
+mod tcp_links;
+
+pub use admin_api::AdminApi;
+pub use backend_client::HttpBackend;
+pub use core_action::CoreAction;
+pub use core_action::StoreTag;
+pub use core_event::BackendInfo;
+pub use core_event::CoreEvent;
+pub use counter_board::CounterBoard;
+pub use http_edge::HttpEdge;
+pub use http_headers::DEADLINE_HEADER;
+pub use http_headers::KEY_HEADER;
+pub use http_headers::NOT_RUN_HEADER;
+pub use http_headers::RAN_HEADER;
+pub use http_headers::REQUEST_ID_HEADER;
+pub use node_core::NodeCore;
+pub use node_core::NodeIdentity;
+pub use node_edges::BackendServer;
+pub use node_edges::EventSender;
+pub use node_edges::NodeEdges;
+pub use node_edges::PeerLinks;
+pub use node_handle::NodeHandle;
+pub use node_process::run_node;
+pub use node_settings::NodeSettings;
+pub use node_status::MemberView;
+pub use node_status::NodeStatus;
+pub use problem_body::ProblemBody;
+pub use settings_error::SettingsError;
+pub use tcp_links::TcpLinks;
--- /dev/null
+++ b/crates/sequoiagw-node/src/node_process.rs
@@ -0,0 +1,129 @@
+//! A node as a process: settings in, edges opened, signals heeded.
+
+use std::rc::Rc;
+
+use eyre::WrapErr;
+use rand::Rng;
+use sequoiagw_protocol::NodeAddress;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_store::EtcdStore;
+use tokio::net::TcpListener;
+use tokio::signal::unix::signal;
+use tokio::signal::unix::SignalKind;
+use tokio::sync::mpsc;
+use tokio::task::LocalSet;
+use tracing::info;
+
+use crate::admin_service::unix_ms;
+use crate::AdminApi;
+use crate::CounterBoard;
+use crate::HttpBackend;
+use crate::HttpEdge;
+use crate::NodeEdges;
+use crate::NodeHandle;
+use crate::NodeIdentity;
+use crate::NodeSettings;
+use crate::TcpLinks;
+
+/// Time between two announcements of a backend server that is named in the settings.
+const ANNOUNCE_PERIOD: std::time::Duration = std::time::Duration::from_secs(1);
+/// Time that callers' connections get to close after the last answer.
+const CLOSE_TIME: std::time::Duration = std::time::Duration::from_secs(2);
+
+/// Runs a node until it has left, on SIGTERM or SIGINT or through the administration API.
+///
+/// Errors: an address can't be bound, or the runtime can't be built.
+pub fn run_node(settings: NodeSettings) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .wrap_err("the runtime can't be built")?;
+    LocalSet::new().block_on(&runtime, serve_node(settings))
+}
+
+async fn serve_node(settings: NodeSettings) -> eyre::Result<()> {
+    let peer_listener = bind("peer_address", settings.peer_address).await?;
+    let caller_listener = bind("caller_address", settings.caller_address).await?;
+    let admin = AdminApi::open(settings.admin_address, settings.admin_token.clone())?;
+    let counters = match settings.statsd_address {
+        Some(address) => CounterBoard::with_statsd(address)
+            .wrap_err_with(|| format!("statsd_address {address} can't be used"))?,
+        None => CounterBoard::default(),
+    };
+    let identity = identity_of(&settings);
+    let (events, receiver) = mpsc::unbounded_channel();
+    let node = NodeId::from_name(&identity.name);
+    let links = TcpLinks::new(node, identity.boot, identity.address, events.clone());
+    let edges = NodeEdges {
+        store: Rc::new(EtcdStore::new(
+            settings.store_endpoints.clone(),
+            settings.store_time(),
+        )),
+        links: Box::new(links.clone()),
+        backend: Box::new(HttpBackend::new(events.clone())),
+    };
+    let handle = NodeHandle::new(identity, edges, events, counters);
+    let edge = HttpEdge::new(handle.clone());
+    info!(
+        event = "node_started", node = %settings.name, data_centre = %settings.data_centre,
+        peer_address = %settings.peer_address, caller_address = %settings.caller_address
+    );
+    tokio::task::spawn_local(async move { links.accept(peer_listener).await });
+    tokio::task::spawn_local(admin.serve(handle.clone()));
+    tokio::task::spawn_local(announce_backend(handle.clone(), settings.clone()));
+    tokio::task::spawn_local(heed_signals(handle.clone()));
+    let accepting = edge.clone();
+    tokio::task::spawn_local(async move { accepting.accept(caller_listener).await });
+    handle.run(receiver).await;
+    edge.close();
+    let _ = tokio::time::timeout(CLOSE_TIME, edge.wait_closed()).await;
+    info!(event = "node_stopped", node = %settings.name);
+    Ok(())
+}
+
+async fn bind(key: &str, address: std::net::SocketAddr) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("{key} {address} can't be bound; is it in use on this host?"))
+}
+
+fn identity_of(settings: &NodeSettings) -> NodeIdentity {
+    NodeIdentity {
+        name: settings.name.clone(),
+        data_centre: settings.data_centre.clone(),
+        address: NodeAddress::from(settings.peer_address),
+        seeds: settings
+            .seeds
+            .iter()
+            .copied()
+            .map(NodeAddress::from)
+            .collect(),
+        boot: unix_ms(),
+        seed: rand::rng().random(),
+    }
+}
+
+/// Announces a backend server that the settings name.
+async fn announce_backend(handle: NodeHandle, settings: NodeSettings) {
+    let Some(info) = settings.backend else {
+        return;
+    };
+    loop {
+        handle.announce(info.clone());
+        tokio::time::sleep(ANNOUNCE_PERIOD).await;
+    }
+}
+
+async fn heed_signals(handle: NodeHandle) {
+    let (Ok(mut terminate), Ok(mut interrupt)) = (
+        signal(SignalKind::terminate()),
+        signal(SignalKind::interrupt()),
+    ) else {
+        return;
+    };
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    handle.drain();
+}
--- /dev/null
+++ b/crates/sequoiagw-node/src/node_settings.rs
@@ -0,0 +1,199 @@
+//! Settings of a node, read from TOML.
+
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::Duration;
+
+use sequoiagw_config::locate_key;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::BackendInfo;
+use crate::SettingsError;
+
+/// Settings of a node.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct NodeSettings {
+    /// Name, unique in the fleet.
+    pub name: String,
+    /// Data centre.
+    pub data_centre: String,
+    /// Address for links from other nodes.
+    pub peer_address: SocketAddr,
+    /// Address for callers' HTTP requests.
+    pub caller_address: SocketAddr,
+    /// Address of the administration API.
+    #[serde(default = "default_admin_address")]
+    pub admin_address: SocketAddr,
+    /// Token for changes; without one, changes are off.
+    #[serde(default)]
+    pub admin_token: Option<String>,
+    /// Addresses of nodes to join; more are read from the store.
+    #[serde(default)]
+    pub seeds: Vec<SocketAddr>,
+    /// Endpoints of the platform's store, `http://ip:port`.
+    pub store_endpoints: Vec<String>,
+    /// Time a call to the store may take.
+    #[serde(default = "default_store_timeout")]
+    pub store_timeout: String,
+    /// `StatsD` server for metrics.
+    #[serde(default)]
+    pub statsd_address: Option<SocketAddr>,
+    /// Least severe log level written: `error`, `warn`, `info`, `debug` or `trace`.
+    #[serde(default = "default_log_level")]
+    pub log_level: String,
+    /// Backend server that doesn't announce itself.
+    #[serde(default)]
+    pub backend: Option<BackendInfo>,
+}
+
+fn default_admin_address() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 7079))
+}
+
+fn default_store_timeout() -> String {
+    "1s".to_owned()
+}
+
+fn default_log_level() -> String {
+    "info".to_owned()
+}
+
+impl NodeSettings {
+    /// Reads a file.
+    pub fn from_file(file: &Path) -> Result<Self, SettingsError> {
+        let source = std::fs::read_to_string(file).map_err(|error| SettingsError::Unreadable {
+            file: file.display().to_string(),
+            detail: error.to_string(),
+        })?;
+        Self::from_toml(&source)
+    }
+
+    /// Parses and checks TOML text; errors name key, line, value and what is allowed.
+    pub fn from_toml(source: &str) -> Result<Self, SettingsError> {
+        let settings: Self = toml::from_str(source).map_err(|error| SettingsError::Syntax {
+            message: error.to_string(),
+        })?;
+        settings.check().map_err(|error| placed(error, source))?;
+        Ok(settings)
+    }
+
+    /// Time a call to the store may take.
+    pub fn store_time(&self) -> Duration {
+        humantime::parse_duration(&self.store_timeout).unwrap_or(Duration::from_secs(1))
+    }
+
+    fn check(&self) -> Result<(), SettingsError> {
+        check_name("name", &self.name)?;
+        check_name("data_centre", &self.data_centre)?;
+        for (key, address) in [
+            ("peer_address", self.peer_address),
+            ("caller_address", self.caller_address),
+            ("admin_address", self.admin_address),
+        ] {
+            if address.port() == 0 {
+                return Err(bad(key, &address.to_string(), "a port from 1 to 65535"));
+            }
+        }
+        if self.peer_address.ip().is_unspecified() {
+            let expected = "the IP number at which other nodes reach this one";
+            return Err(bad(
+                "peer_address",
+                &self.peer_address.to_string(),
+                expected,
+            ));
+        }
+        if self.store_endpoints.is_empty() {
+            return Err(bad("store_endpoints", "[]", "at least one endpoint"));
+        }
+        for endpoint in &self.store_endpoints {
+            if !endpoint.starts_with("http://") {
+                return Err(bad(
+                    "store_endpoints",
+                    endpoint,
+                    "endpoints such as \"http://10.0.0.1:2379\"",
+                ));
+            }
+        }
+        let store_time = humantime::parse_duration(&self.store_timeout).ok();
+        let range = Duration::from_millis(10)..=Duration::from_secs(30);
+        if !store_time.is_some_and(|time| range.contains(&time)) {
+            let expected = "a duration from 10ms to 30s, such as \"1s\"";
+            return Err(bad("store_timeout", &self.store_timeout, expected));
+        }
+        if !["error", "warn", "info", "debug", "trace"].contains(&self.log_level.as_str()) {
+            let expected = "error, warn, info, debug or trace";
+            return Err(bad("log_level", &self.log_level, expected));
+        }
+        if self
+            .admin_token
+            .as_ref()
+            .is_some_and(|token| token.len() < 16)
+        {
+            return Err(bad(
+                "admin_token",
+                "a shorter token",
+                "at least 16 characters",
+            ));
+        }
+        if let Some(backend) = &self.backend {
+            check_name("backend.service", &backend.service)?;
+            if backend.address.parse::<SocketAddr>().is_err() {
+                return Err(bad("backend.address", &backend.address, "ip:port"));
+            }
+            if !(1..=10_000).contains(&backend.slots) {
+                let expected = "a whole number from 1 to 10000";
+                return Err(bad("backend.slots", &backend.slots.to_string(), expected));
+            }
+        }
+        Ok(())
+    }
+}
+
+fn check_name(key: &str, name: &str) -> Result<(), SettingsError> {
+    let valid = !name.is_empty()
+        && name.len() <= 64
+        && name
+            .chars()
+            .all(|c| c.is_ascii_alphanumeric() || c == '-' || c == '_');
+    if valid {
+        return Ok(());
+    }
+    Err(bad(
+        key,
+        &format!("\"{name}\""),
+        "1 to 64 letters, digits, - and _",
+    ))
+}
+
+fn bad(key: &str, value: &str, expected: &str) -> SettingsError {
+    SettingsError::Value {
+        key: key.to_owned(),
+        place: String::new(),
+        value: value.to_owned(),
+        expected: expected.to_owned(),
+    }
+}
+
+fn placed(error: SettingsError, source: &str) -> SettingsError {
+    match error {
+        SettingsError::Value {
+            key,
+            value,
+            expected,
+            ..
+        } => {
+            let place = locate_key(source, &key).map_or_else(String::new, |(line, column)| {
+                format!(" (line {line}, column {column})")
+            });
+            SettingsError::Value {
+                key,
+                place,
+                value,
+                expected,
+            }
+        }
+        other => other,
+    }
+}
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -143,3 +143,11 @@
     #[prost(string, repeated, tag = "2")]
     pub wanted: Vec<String>,
 }
+
+/// First frame on a link, from each end.
+#[derive(Clone, Message, PartialEq)]
+pub struct LinkHello {
+    /// Address at which the sender takes links, `ip:port`.
+    #[prost(string, tag = "1")]
+    pub address: String,
+}
--- a/crates/sequoiagw-protocol/src/peer_frame.rs
+++ b/crates/sequoiagw-protocol/src/peer_frame.rs
@@ -17,6 +17,7 @@
 use crate::ConfigFull;
 use crate::ConfigRequest;
 use crate::JoinRequest;
+use crate::LinkHello;
 use crate::NodeId;
 use crate::ProbeAnswer;
 use crate::ProbeMessage;
@@ -37,7 +38,7 @@
     /// Content.
     #[prost(
         oneof = "FrameBody",
-        tags = "10, 11, 12, 13, 14, 20, 21, 22, 23, 24, 25, 30, 31, 32, 33, 40, 41"
+        tags = "10, 11, 12, 13, 14, 15, 20, 21, 22, 23, 24, 25, 30, 31, 32, 33, 40, 41"
     )]
     pub body: Option<FrameBody>,
 }
@@ -81,6 +82,9 @@
     /// Member records.
     #[prost(message, tag = "14")]
     Records(TableRecords),
+    /// First frame on a link.
+    #[prost(message, tag = "15")]
+    Hello(LinkHello),
     /// Configuration delta.
     #[prost(message, tag = "20")]
     Delta(ConfigDelta),
@@ -123,7 +127,7 @@
     /// Kind of the content.
     pub fn kind(&self) -> FrameKind {
         match self {
-            Self::Probe(_) | Self::ProbeAnswer(_) => FrameKind::Probe,
+            Self::Probe(_) | Self::ProbeAnswer(_) | Self::Hello(_) => FrameKind::Probe,
             Self::Join(_) | Self::Digest(_) | Self::Records(_) => FrameKind::Table,
             Self::Delta(_) | Self::Full(_) | Self::ConfigRequest(_) | Self::ConfigBusy(_) => {
                 FrameKind::Config
--- /dev/null
+++ b/crates/sequoiagw-standin/src/lib.rs
@@ -0,0 +1,31 @@
+//! Small stand-ins for what lies outside the system: the platform's store, backend
+//! servers, and links that delay, lose and cut. Used by tests, benches and the demo.
+
+mod backend_http;
+mod backend_model;
+mod memory_backend;
+mod memory_links;
+mod memory_store;
+mod pausable_task;
+mod small_fleet;
+mod store_faults;
+mod store_server;
+mod store_state;
+
+pub use backend_http::BackendHttp;
+pub use backend_model::BackendModel;
+pub use backend_model::BackendPlan;
+pub use backend_model::ModelAnswer;
+pub use backend_model::RunLog;
+pub use memory_backend::MemoryBackend;
+pub use memory_links::MemoryLinks;
+pub use memory_links::MemoryNetwork;
+pub use memory_links::NetworkPlan;
+pub use memory_store::MemoryStore;
+pub use pausable_task::PauseSwitch;
+pub use small_fleet::FleetNode;
+pub use small_fleet::FleetPlan;
+pub use small_fleet::SmallFleet;
+pub use store_faults::StoreFaults;
+pub use store_server::StoreServer;
+pub use store_state::StoreState;
--- /dev/null
+++ b/crates/sequoiagw-standin/src/memory_backend.rs
@@ -0,0 +1,74 @@
+//! A backend server in memory, behind the node's edge.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use sequoiagw_node::BackendServer;
+use sequoiagw_node::CoreEvent;
+use sequoiagw_node::EventSender;
+use sequoiagw_policy::BackendResult;
+use sequoiagw_policy::RunId;
+use sequoiagw_policy::RunRequest;
+use tokio::task::AbortHandle;
+
+use crate::BackendModel;
+use crate::ModelAnswer;
+
+/// A backend server in memory.
+pub struct MemoryBackend {
+    model: BackendModel,
+    events: EventSender,
+    runs: Rc<RefCell<HashMap<RunId, AbortHandle>>>,
+}
+
+impl MemoryBackend {
+    /// Puts a server behind a node's edge.
+    pub fn new(model: BackendModel, events: EventSender) -> Self {
+        Self {
+            model,
+            events,
+            runs: Rc::default(),
+        }
+    }
+}
+
+impl BackendServer for MemoryBackend {
+    fn run(&self, _address: &str, request: RunRequest) {
+        let model = self.model.clone();
+        let events = self.events.clone();
+        let runs = Rc::clone(&self.runs);
+        let run = request.run;
+        let task = tokio::task::spawn_local(async move {
+            let dispatch = &request.dispatch;
+            // A key names the action, whatever request carries it.
+            let id = if dispatch.key.is_empty() {
+                &dispatch.request_id
+            } else {
+                &dispatch.key
+            };
+            let result = match model.serve(id, &dispatch.path).await {
+                ModelAnswer::Ran(body) => BackendResult::Answered {
+                    status: 200,
+                    headers: Vec::new(),
+                    body: Bytes::from(body),
+                },
+                ModelAnswer::Shed => BackendResult::Shed,
+                ModelAnswer::Broken => BackendResult::Broken,
+            };
+            runs.borrow_mut().remove(&run);
+            let _ = events.send(CoreEvent::BackendDone(run, result));
+        });
+        self.runs.borrow_mut().insert(run, task.abort_handle());
+    }
+
+    fn abort(&self, run: RunId) {
+        if let Some(task) = self.runs.borrow_mut().remove(&run) {
+            task.abort();
+            let _ = self
+                .events
+                .send(CoreEvent::BackendDone(run, BackendResult::Aborted));
+        }
+    }
+}
--- /dev/null
+++ b/crates/sequoiagw-standin/src/memory_store.rs
@@ -0,0 +1,211 @@
+//! The store's stand-in in memory.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sequoiagw_store::PlatformStore;
+use sequoiagw_store::StoreError;
+use sequoiagw_store::StoreFuture;
+use sequoiagw_store::StoreReply;
+use sequoiagw_store::StoreRequest;
+use sequoiagw_store::WatchReceiver;
+use sequoiagw_store::WatchSender;
+use sequoiagw_store::WatchUpdate;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::Instant;
+
+use crate::StoreFaults;
+use crate::StoreState;
+
+/// Updates a watch may have waiting.
+const WATCH_BACKLOG: usize = 64;
+/// Time after which a client of the stand-in gives a call up.
+const CLIENT_TIMEOUT: Duration = Duration::from_secs(1);
+
+struct StoreShared {
+    state: Mutex<StoreState>,
+    faults: Mutex<StoreFaults>,
+    rng: Mutex<ChaCha8Rng>,
+    revision: watch::Sender<u64>,
+}
+
+/// The store in memory; clones share it.
+#[derive(Clone)]
+pub struct MemoryStore {
+    shared: Arc<StoreShared>,
+    /// Whether this client alone is cut off.
+    cut: Arc<Mutex<bool>>,
+}
+
+fn lock<Held>(mutex: &Mutex<Held>) -> MutexGuard<'_, Held> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl MemoryStore {
+    /// Builds an empty store.
+    pub fn new(seed: u64) -> Self {
+        let (revision, _) = watch::channel(0);
+        let shared = StoreShared {
+            state: Mutex::default(),
+            faults: Mutex::default(),
+            rng: Mutex::new(ChaCha8Rng::seed_from_u64(seed)),
+            revision,
+        };
+        Self {
+            shared: Arc::new(shared),
+            cut: Arc::default(),
+        }
+    }
+
+    /// A client of the same store that can be cut off by itself.
+    #[must_use]
+    pub fn client(&self) -> Self {
+        Self {
+            shared: Arc::clone(&self.shared),
+            cut: Arc::default(),
+        }
+    }
+
+    /// Cuts this client off, or connects it again.
+    pub fn set_cut(&self, cut: bool) {
+        *lock(&self.cut) = cut;
+        self.wake_watches();
+    }
+
+    /// Changes the faults in force.
+    pub fn set_faults<Change>(&self, change: Change)
+    where
+        Change: FnOnce(&mut StoreFaults),
+    {
+        change(&mut lock(&self.shared.faults));
+        self.wake_watches();
+    }
+
+    /// Looks at or changes the state directly.
+    pub fn with_state<Look, Seen>(&self, look: Look) -> Seen
+    where
+        Look: FnOnce(&mut StoreState) -> Seen,
+    {
+        let seen = look(&mut lock(&self.shared.state));
+        self.wake_watches();
+        seen
+    }
+
+    /// Calls so far by kind.
+    pub fn counts(&self) -> BTreeMap<&'static str, u64> {
+        lock(&self.shared.state).counts().clone()
+    }
+
+    /// Makes one call at once, as the store itself does.
+    pub fn apply(&self, request: &StoreRequest) -> Result<StoreReply, StoreError> {
+        if self.is_down() {
+            return Err(unavailable("the store is down"));
+        }
+        let reply = self.with_state(|state| state.apply(request, Instant::now()));
+        let lost_answers = lock(&self.shared.faults).lost_answers;
+        let is_write = request.kind() == "txn";
+        if is_write && lost_answers > 0.0 && lock(&self.shared.rng).random_bool(lost_answers) {
+            return Err(unavailable("the answer was lost"));
+        }
+        reply
+    }
+
+    /// Time each call takes now.
+    pub fn delay(&self) -> Duration {
+        lock(&self.shared.faults).delay
+    }
+
+    /// Whether this client gets no answers now.
+    pub fn is_down(&self) -> bool {
+        lock(&self.shared.faults).down || *lock(&self.cut)
+    }
+
+    fn wake_watches(&self) {
+        let revision = lock(&self.shared.state).revision();
+        self.shared.revision.send_replace(revision);
+    }
+
+    /// Feeds a watch until it fails or its receiver is gone.
+    pub async fn run_watch(self, key: String, from: u64, sender: WatchSender) {
+        lock(&self.shared.state).count("watch");
+        let mut revisions = self.shared.revision.subscribe();
+        let mut next = from.max(1);
+        if sender.send(Ok(WatchUpdate::Started)).await.is_err() {
+            return;
+        }
+        loop {
+            if self.is_down() {
+                let _ = sender.send(Err(unavailable("the watch broke"))).await;
+                return;
+            }
+            let silent = lock(&self.shared.faults).silent_watches;
+            let changes = lock(&self.shared.state).changes_from(&key, next);
+            match changes {
+                Ok((updates, from)) if !silent => {
+                    next = from;
+                    for update in updates {
+                        if sender.send(Ok(update)).await.is_err() {
+                            return;
+                        }
+                    }
+                }
+                Ok(_) => {}
+                Err(error) => {
+                    let _ = sender.send(Err(error)).await;
+                    return;
+                }
+            }
+            tokio::select! {
+                woken = revisions.changed() => if woken.is_err() {
+                    return;
+                },
+                () = sender.closed() => return,
+            }
+        }
+    }
+}
+
+impl PlatformStore for MemoryStore {
+    fn call(&self, request: StoreRequest) -> StoreFuture {
+        let store = self.clone();
+        Box::pin(async move {
+            let delay = store.delay();
+            if delay > CLIENT_TIMEOUT {
+                tokio::time::sleep(CLIENT_TIMEOUT).await;
+                // The call goes on without its client.
+                tokio::task::spawn_local(async move {
+                    tokio::time::sleep(delay.saturating_sub(CLIENT_TIMEOUT)).await;
+                    let _ = store.apply(&request);
+                });
+                return Err(unavailable("timeout"));
+            }
+            tokio::time::sleep(delay / 2).await;
+            let reply = store.apply(&request);
+            tokio::time::sleep(delay / 2).await;
+            reply
+        })
+    }
+
+    fn watch(&self, key: &str, from_revision: u64) -> WatchReceiver {
+        let (sender, receiver) = mpsc::channel(WATCH_BACKLOG);
+        tokio::task::spawn_local(
+            self.clone()
+                .run_watch(key.to_owned(), from_revision, sender),
+        );
+        receiver
+    }
+}
+
+fn unavailable(detail: &str) -> StoreError {
+    StoreError::Unavailable {
+        detail: detail.to_owned(),
+    }
+}
--- /dev/null
+++ b/crates/sequoiagw-standin/src/store_state.rs
@@ -0,0 +1,292 @@
+//! Keys, leases and revisions of the store's stand-in.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use sequoiagw_store::KeyCondition;
+use sequoiagw_store::KeyEntry;
+use sequoiagw_store::LeaseId;
+use sequoiagw_store::PutEntry;
+use sequoiagw_store::StoreError;
+use sequoiagw_store::StoreReply;
+use sequoiagw_store::StoreRequest;
+use sequoiagw_store::WatchUpdate;
+use tokio::time::Instant;
+
+/// A stored key.
+#[derive(Clone, Debug)]
+struct StoredKey {
+    value: String,
+    create_revision: u64,
+    mod_revision: u64,
+    lease: Option<LeaseId>,
+}
+
+/// One change, for watches.
+#[derive(Clone, Debug)]
+struct StoredChange {
+    revision: u64,
+    key: String,
+    update: WatchUpdate,
+}
+
+/// State of the store.
+#[derive(Debug, Default)]
+pub struct StoreState {
+    revision: u64,
+    keys: BTreeMap<String, StoredKey>,
+    leases: BTreeMap<LeaseId, (Duration, Instant)>,
+    next_lease: u64,
+    changes: Vec<StoredChange>,
+    compacted: u64,
+    counts: BTreeMap<&'static str, u64>,
+}
+
+impl StoreState {
+    /// Makes one call and counts it.
+    pub fn apply(
+        &mut self,
+        request: &StoreRequest,
+        now: Instant,
+    ) -> Result<StoreReply, StoreError> {
+        self.count(request.kind());
+        self.expire_leases(now);
+        match request {
+            StoreRequest::Read { key } => {
+                let entry = self.keys.get(key).map(|stored| entry_of(key, stored));
+                Ok(self.entries(entry.into_iter().collect()))
+            }
+            StoreRequest::ReadPrefix { prefix } => {
+                let found = self.keys.range(prefix.clone()..);
+                let within = found.take_while(|(key, _)| key.starts_with(prefix.as_str()));
+                let entries = within.map(|(key, stored)| entry_of(key, stored)).collect();
+                Ok(self.entries(entries))
+            }
+            StoreRequest::Commit {
+                conditions,
+                puts,
+                deletes,
+            } => self.commit(conditions, puts, deletes),
+            StoreRequest::CreateEach { puts } => self.create_each(puts),
+            StoreRequest::Grant { ttl_s } => Ok(self.grant(*ttl_s, now)),
+            StoreRequest::KeepAlive { lease } => self.keep_alive(*lease, now),
+            StoreRequest::Revoke { lease } => self.revoke(*lease),
+        }
+    }
+
+    /// Counts a call.
+    pub fn count(&mut self, kind: &'static str) {
+        *self.counts.entry(kind).or_default() += 1;
+    }
+
+    /// Calls so far by kind.
+    pub fn counts(&self) -> &BTreeMap<&'static str, u64> {
+        &self.counts
+    }
+
+    /// Revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Number of keys that start with a prefix.
+    pub fn count_keys(&self, prefix: &str) -> usize {
+        self.keys
+            .range(prefix.to_owned()..)
+            .take_while(|(key, _)| key.starts_with(prefix))
+            .count()
+    }
+
+    /// Ends all leases at once, with their keys.
+    pub fn expire_all_leases(&mut self) {
+        let leases: Vec<LeaseId> = self.leases.keys().copied().collect();
+        for lease in leases {
+            self.drop_lease(lease);
+        }
+    }
+
+    /// Forgets changes up to a revision; watches from before it fail.
+    pub fn compact(&mut self, revision: u64) {
+        self.compacted = revision;
+        self.changes.retain(|change| change.revision > revision);
+    }
+
+    /// Changes of a key from a revision on, with the revision to go on from.
+    pub fn changes_from(
+        &self,
+        key: &str,
+        revision: u64,
+    ) -> Result<(Vec<WatchUpdate>, u64), StoreError> {
+        if revision <= self.compacted {
+            return Err(StoreError::Compacted {
+                oldest: self.compacted + 1,
+            });
+        }
+        let updates = self
+            .changes
+            .iter()
+            .filter(|change| change.revision >= revision && change.key == key)
+            .map(|change| change.update.clone())
+            .collect();
+        Ok((updates, self.revision + 1))
+    }
+
+    fn entries(&self, entries: Vec<KeyEntry>) -> StoreReply {
+        StoreReply::Entries {
+            entries,
+            revision: self.revision,
+        }
+    }
+
+    fn commit(
+        &mut self,
+        conditions: &[KeyCondition],
+        puts: &[PutEntry],
+        deletes: &[String],
+    ) -> Result<StoreReply, StoreError> {
+        let holds = conditions.iter().all(|condition| match condition {
+            KeyCondition::Absent(key) => !self.keys.contains_key(key),
+            KeyCondition::Unchanged(key, revision) => self
+                .keys
+                .get(key)
+                .is_some_and(|stored| stored.mod_revision == *revision),
+        });
+        if !holds {
+            return Ok(StoreReply::Committed {
+                applied: false,
+                revision: self.revision,
+            });
+        }
+        self.check_leases(puts)?;
+        self.revision += 1;
+        for put in puts {
+            self.put(put);
+        }
+        for key in deletes {
+            self.delete(key);
+        }
+        Ok(StoreReply::Committed {
+            applied: true,
+            revision: self.revision,
+        })
+    }
+
+    fn create_each(&mut self, puts: &[PutEntry]) -> Result<StoreReply, StoreError> {
+        self.check_leases(puts)?;
+        self.revision += 1;
+        let mut standing = Vec::with_capacity(puts.len());
+        for put in puts {
+            let existing = self
+                .keys
+                .get(&put.key)
+                .map(|stored| entry_of(&put.key, stored));
+            if existing.is_none() {
+                self.put(put);
+            }
+            standing.push(existing);
+        }
+        Ok(StoreReply::Created { standing })
+    }
+
+    fn check_leases(&self, puts: &[PutEntry]) -> Result<(), StoreError> {
+        let unknown = puts
+            .iter()
+            .filter_map(|put| put.lease)
+            .find(|lease| !self.leases.contains_key(lease));
+        match unknown {
+            Some(lease) => Err(StoreError::LeaseLapsed { lease: lease.0 }),
+            None => Ok(()),
+        }
+    }
+
+    fn put(&mut self, put: &PutEntry) {
+        let revision = self.revision;
+        let created = self
+            .keys
+            .get(&put.key)
+            .map_or(revision, |stored| stored.create_revision);
+        let stored = StoredKey {
+            value: put.value.clone(),
+            create_revision: created,
+            mod_revision: revision,
+            lease: put.lease,
+        };
+        let update = WatchUpdate::Changed(entry_of(&put.key, &stored));
+        self.changes.push(StoredChange {
+            revision,
+            key: put.key.clone(),
+            update,
+        });
+        self.keys.insert(put.key.clone(), stored);
+    }
+
+    fn delete(&mut self, key: &str) {
+        if self.keys.remove(key).is_some() {
+            let update = WatchUpdate::Deleted;
+            self.changes.push(StoredChange {
+                revision: self.revision,
+                key: key.to_owned(),
+                update,
+            });
+        }
+    }
+
+    fn grant(&mut self, ttl_s: u64, now: Instant) -> StoreReply {
+        self.next_lease += 1;
+        let lease = LeaseId(self.next_lease);
+        let ttl = Duration::from_secs(ttl_s);
+        self.leases.insert(lease, (ttl, now + ttl));
+        StoreReply::Leased { lease, ttl_s }
+    }
+
+    fn keep_alive(&mut self, lease: LeaseId, now: Instant) -> Result<StoreReply, StoreError> {
+        let Some((ttl, until)) = self.leases.get_mut(&lease) else {
+            return Err(StoreError::LeaseLapsed { lease: lease.0 });
+        };
+        *until = now + *ttl;
+        Ok(StoreReply::Leased {
+            lease,
+            ttl_s: ttl.as_secs(),
+        })
+    }
+
+    fn revoke(&mut self, lease: LeaseId) -> Result<StoreReply, StoreError> {
+        if !self.leases.contains_key(&lease) {
+            return Err(StoreError::LeaseLapsed { lease: lease.0 });
+        }
+        self.drop_lease(lease);
+        Ok(StoreReply::Revoked)
+    }
+
+    fn expire_leases(&mut self, now: Instant) {
+        let over = self.leases.iter().filter(|(_, (_, until))| *until <= now);
+        let over: Vec<LeaseId> = over.map(|(lease, _)| *lease).collect();
+        for lease in over {
+            self.drop_lease(lease);
+        }
+    }
+
+    fn drop_lease(&mut self, lease: LeaseId) {
+        self.leases.remove(&lease);
+        let held = self
+            .keys
+            .iter()
+            .filter(|(_, stored)| stored.lease == Some(lease));
+        let held: Vec<String> = held.map(|(key, _)| key.clone()).collect();
+        if !held.is_empty() {
+            self.revision += 1;
+        }
+        for key in held {
+            self.delete(&key);
+        }
+    }
+}
+
+fn entry_of(key: &str, stored: &StoredKey) -> KeyEntry {
+    KeyEntry {
+        key: key.to_owned(),
+        value: stored.value.clone(),
+        create_revision: stored.create_revision,
+        mod_revision: stored.mod_revision,
+    }
+}
