Let groups of nodes that started apart find each other; report versions per data centre

Cause: nodes that start together join whichever entry point answers first, and form groups that never meet: only members in service linked data centres, and nobody looked at the settings' entry points again. Ruled out: lost frames (none were lost), digests (they only go to known members). Change: while no member of a data centre is in service its lowest reachable ones link it, and links knock at entry points that aren't known members. Collectors answer a question for their data centre's versions. Before: 24 nodes in 3 data centres, tables incomplete after 60 s. Conclusion: an entry point in the settings is looked at for as long as it isn't a member.

--- a/crates/sequoiagw-distribution/src/version_machine.rs
+++ b/crates/sequoiagw-distribution/src/version_machine.rs
@@ -24,6 +24,7 @@
 use sequoiagw_protocol::ConfigRequest;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::NodeVersions;
 use sequoiagw_protocol::VersionActivate;
 use sequoiagw_protocol::VersionMark;
 use sequoiagw_protocol::VersionReport;
@@ -40,6 +41,8 @@
 const STAGED_LIMIT: usize = 16;
 /// Time between two reports while a held version isn't in force.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two reports otherwise, so that a lost one is made up for.
+const REFRESH_PERIOD: Duration = Duration::from_secs(10);
 /// Time a request for configuration may stay unanswered.
 const REQUEST_TIME: Duration = Duration::from_millis(700);
 /// Least time between two full copies sent by one node.
@@ -165,9 +168,24 @@
         self.active > 0 && self.floor.is_some_and(|floor| self.active >= floor)
     }
 
+    /// Versions of the data centre's nodes, as far as they reported here.
+    pub fn known_versions(&self) -> Vec<NodeVersions> {
+        let others = self.reports.iter().map(|(node, report)| NodeVersions {
+            node: node.get(),
+            held: report.held,
+            active: report.active,
+        });
+        let own = NodeVersions {
+            node: self.node.get(),
+            held: self.held_version(),
+            active: self.active,
+        };
+        others.chain([own]).collect()
+    }
+
     /// Takes the members as they are now.
     pub fn set_peers(&mut self, peers: VersionPeers, now: Instant) {
-        self.reports.retain(|node, _| peers.voters.contains(node));
+        self.reports.retain(|node, _| peers.near.contains(node));
         self.peers = peers;
         self.count_holders(now);
         self.check_answers(now);
@@ -399,7 +417,12 @@
     /// Tells the collectors what this node holds, until it is in force.
     fn report(&mut self, now: Instant) {
         let behind = self.active < self.held_version();
-        self.next_report = behind.then(|| now + REPORT_PERIOD);
+        let period = if behind {
+            REPORT_PERIOD
+        } else {
+            REFRESH_PERIOD
+        };
+        self.next_report = Some(now + period.mul_f64(self.rng.random_range(0.8..1.2)));
         let report = FrameBody::Versions(self.own_report(false));
         let own = self.node;
         let collectors = self.peers.collectors.clone();
--- a/crates/sequoiagw-membership/src/membership_machine.rs
+++ b/crates/sequoiagw-membership/src/membership_machine.rs
@@ -1,6 +1,7 @@
 //! The state machine of membership.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::time::Duration;
 
@@ -262,10 +263,24 @@
         self.next_forward.map_or(wake, |forward| wake.min(forward))
     }
 
-    /// Lowest members in service of a data centre, which link it to the others.
+    /// Lowest members in service of a data centre, which link it to the others; while
+    /// none is in service, the lowest ones that can be reached.
     pub fn bridges(&self, data_centre: &str) -> Vec<NodeId> {
-        let ready = self.table.ready(data_centre).take(BRIDGE_COUNT);
-        ready.map(|record| NodeId::from(record.node)).collect()
+        let id = |record: &MemberRecord| NodeId::from(record.node);
+        let ready: Vec<NodeId> = self
+            .table
+            .ready(data_centre)
+            .take(BRIDGE_COUNT)
+            .map(id)
+            .collect();
+        if !ready.is_empty() {
+            return ready;
+        }
+        self.table
+            .reachable(data_centre)
+            .take(BRIDGE_COUNT)
+            .map(id)
+            .collect()
     }
 
     fn own_id(&self) -> NodeId {
@@ -619,6 +634,7 @@
             self.send(peer, FrameBody::Digest(digest.clone()));
         }
         if self.bridges(&self.own.data_centre).contains(&self.own_id()) {
+            self.knock_at_seed();
             for far in self.far_bridges() {
                 self.send(far, FrameBody::Digest(digest.clone()));
                 let versions = Some(self.versions);
@@ -631,6 +647,30 @@
         }
     }
 
+    /// Joins an entry point that isn't a known member, so that groups of nodes that
+    /// started apart, or were apart for long, find each other.
+    fn knock_at_seed(&mut self) {
+        let known: BTreeSet<NodeAddress> = self
+            .table
+            .data_centres()
+            .flat_map(|centre| self.table.reachable(centre))
+            .filter_map(|record| NodeAddress::parse(&record.address))
+            .collect();
+        let strange: Vec<NodeAddress> = self
+            .seeds
+            .iter()
+            .copied()
+            .filter(|seed| !known.contains(seed))
+            .collect();
+        if let Some(seed) = strange.choose(&mut self.rng) {
+            let join = JoinRequest {
+                record: Some(self.own.clone()),
+            };
+            self.actions
+                .push(MembershipAction::SendTo(*seed, FrameBody::Join(join)));
+        }
+    }
+
     /// Repairs a data centre's records once its hash differs in two digests running: an
     /// update on its way explains a single difference.
     fn on_digest(&mut self, from: NodeId, digest: &TableDigest) {
--- a/crates/sequoiagw-node/src/admin_api.rs
+++ b/crates/sequoiagw-node/src/admin_api.rs
@@ -124,6 +124,7 @@
             (Method::Get, "/healthz") => Ok(AdminRequest::Health),
             (Method::Get, "/readyz") => Ok(AdminRequest::Readiness),
             (Method::Get, "/v1/status") => Ok(AdminRequest::Status),
+            (Method::Get, "/v1/fleet") => Ok(AdminRequest::Fleet),
             (Method::Get, "/v1/counters") => Ok(AdminRequest::Counters),
             (Method::Get, "/v1/config") => Ok(AdminRequest::ReadConfig),
             (Method::Get, "/v1/config/history") => Ok(AdminRequest::History),
--- a/crates/sequoiagw-node/src/admin_service.rs
+++ b/crates/sequoiagw-node/src/admin_service.rs
@@ -22,6 +22,8 @@
     Readiness,
     /// Status of the node and its members.
     Status,
+    /// Versions in force in each data centre.
+    Fleet,
     /// Counters.
     Counters,
     /// The newest accepted configuration.
@@ -101,6 +103,7 @@
         AdminRequest::Health => AdminReply::text(200, "running\n"),
         AdminRequest::Readiness => readiness(handle),
         AdminRequest::Status => AdminReply::json(200, &handle.status()),
+        AdminRequest::Fleet => AdminReply::json(200, &handle.fleet().await),
         AdminRequest::Counters => AdminReply::json(200, &handle.counters().totals()),
         AdminRequest::ReadConfig => read_config(handle).await,
         AdminRequest::History => read_history(handle).await,
--- a/crates/sequoiagw-node/src/core_action.rs
+++ b/crates/sequoiagw-node/src/core_action.rs
@@ -6,6 +6,7 @@
 use sequoiagw_policy::CallerReply;
 use sequoiagw_policy::RunId;
 use sequoiagw_policy::RunRequest;
+use sequoiagw_protocol::FleetReport;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::PeerFrame;
 use sequoiagw_store::StoreRequest;
@@ -44,6 +45,8 @@
     Unwatch,
     /// Answer a caller.
     Reply(u64, CallerReply),
+    /// Hand a data centre's report to whoever asked.
+    Report(FleetReport),
     /// A version came into force.
     Activated(Arc<SnapshotTable>),
     /// Everything is done; the process may end.
--- a/crates/sequoiagw-node/src/lib.rs
+++ b/crates/sequoiagw-node/src/lib.rs
@@ -2,7 +2,7 @@
 //!
 //! [`NodeCore`] joins the decisions of the other packages and does no I/O. [`NodeHandle`]
 //! runs it on the current thread's runtime, with the platform's store, the links and the
-//! backend server behind the traits of [`edge`](crate::PeerLinks).
+//! backend server behind the traits [`PeerLinks`], [`BackendServer`] and the store's.
 
 mod admin_api;
 mod admin_service;
@@ -10,6 +10,7 @@
 mod core_action;
 mod core_event;
 mod counter_board;
+mod fleet_status;
 mod http_edge;
 mod http_headers;
 mod node_core;
@@ -29,6 +30,8 @@
 pub use core_event::BackendInfo;
 pub use core_event::CoreEvent;
 pub use counter_board::CounterBoard;
+pub use fleet_status::CentreStatus;
+pub use fleet_status::FleetStatus;
 pub use http_edge::HttpEdge;
 pub use http_headers::DEADLINE_HEADER;
 pub use http_headers::KEY_HEADER;
--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -37,6 +37,8 @@
 use sequoiagw_protocol::ClaimReply;
 use sequoiagw_protocol::ClaimRequest;
 use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::FleetQuery;
+use sequoiagw_protocol::FleetReport;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::KeyClaim;
 use sequoiagw_protocol::MemberRecord;
@@ -231,6 +233,20 @@
         self.settle(now);
     }
 
+    /// Asks one collector of each data centre for its report; tells how many were asked.
+    pub fn ask_fleet(&mut self, number: u64, now: Instant) -> usize {
+        let centres: Vec<String> = self.members().data_centres().map(str::to_owned).collect();
+        let mut asked = 0;
+        for centre in centres {
+            if let Some(collector) = self.membership.bridges(&centre).first().copied() {
+                asked += 1;
+                self.send(collector, FrameBody::FleetQuery(FleetQuery { number }));
+            }
+        }
+        self.settle(now);
+        asked
+    }
+
     /// Starts to leave: no new work, running work finishes, then [`CoreAction::Stopped`].
     pub fn drain(&mut self, now: Instant) {
         if self.draining {
@@ -352,6 +368,15 @@
             FrameBody::Cancel(cancel) => self.owner.on_cancel(from, boot, cancel.call, now),
             FrameBody::Claim(request) => self.on_claims(from, request, now),
             FrameBody::ClaimReply(reply) => self.on_claim_reply(&reply, now),
+            FrameBody::FleetQuery(query) => {
+                let report = FleetReport {
+                    number: query.number,
+                    data_centre: self.identity.data_centre.clone(),
+                    nodes: self.versions.known_versions(),
+                };
+                self.send(from, FrameBody::FleetReport(report));
+            }
+            FrameBody::FleetReport(report) => self.actions.push(CoreAction::Report(report)),
             FrameBody::Hello(_) => {}
         }
     }
--- a/crates/sequoiagw-node/src/node_handle.rs
+++ b/crates/sequoiagw-node/src/node_handle.rs
@@ -3,18 +3,23 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
 use sequoiagw_policy::CallerReply;
 use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::FleetReport;
 use sequoiagw_store::PlatformStore;
 use sequoiagw_store::StoreRequest;
+use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
+use tokio::time::timeout_at;
 use tokio::time::Instant;
 
 use crate::BackendInfo;
@@ -22,12 +27,16 @@
 use crate::CoreEvent;
 use crate::CounterBoard;
 use crate::EventSender;
+use crate::FleetStatus;
 use crate::NodeCore;
 use crate::NodeEdges;
 use crate::NodeIdentity;
 use crate::NodeStatus;
 use crate::StoreTag;
 
+/// Time that collectors get to report.
+const FLEET_TIME: Duration = Duration::from_secs(1);
+
 /// Version in force and whether the node has stopped, for those who wait.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub(crate) struct NodeProgress {
@@ -42,6 +51,8 @@
     replies: HashMap<u64, oneshot::Sender<CallerReply>>,
     events: EventSender,
     watch_task: Option<AbortHandle>,
+    reports: HashMap<u64, UnboundedSender<FleetReport>>,
+    next_report: u64,
     counters: CounterBoard,
     progress: watch::Sender<NodeProgress>,
 }
@@ -82,6 +93,8 @@
             replies: HashMap::new(),
             events,
             watch_task: None,
+            reports: HashMap::new(),
+            next_report: 0,
             counters,
             progress,
         };
@@ -185,6 +198,35 @@
         NodeStatus::of(&inner.core, &inner.counters, Instant::now())
     }
 
+    /// Versions in force at every node, asked of each data centre's collector. Data
+    /// centres that give no answer within a second are left out.
+    pub async fn fleet(&self) -> FleetStatus {
+        let (sender, mut receiver) = mpsc::unbounded_channel();
+        let number = {
+            let mut inner = self.inner.borrow_mut();
+            inner.next_report += 1;
+            let number = inner.next_report;
+            inner.reports.insert(number, sender);
+            number
+        };
+        let asked = self
+            .inner
+            .borrow_mut()
+            .core
+            .ask_fleet(number, Instant::now());
+        self.act();
+        let mut reports = Vec::with_capacity(asked);
+        let limit = Instant::now() + FLEET_TIME;
+        while reports.len() < asked {
+            match timeout_at(limit, receiver.recv()).await {
+                Ok(Some(report)) => reports.push(report),
+                _ => break,
+            }
+        }
+        self.inner.borrow_mut().reports.remove(&number);
+        self.read(|core| FleetStatus::of(core.members(), &reports))
+    }
+
     /// Looks at the core.
     pub fn read<Look, Seen>(&self, look: Look) -> Seen
     where
@@ -236,6 +278,11 @@
                     let _ = sender.send(reply);
                 }
             }
+            CoreAction::Report(report) => {
+                if let Some(sender) = inner.reports.get(&report.number) {
+                    let _ = sender.send(report);
+                }
+            }
             CoreAction::Activated(snapshot) => {
                 let ready = inner.core.is_ready();
                 inner.progress.send_modify(|progress| {
--- a/crates/sequoiagw-protocol/src/config_message.rs
+++ b/crates/sequoiagw-protocol/src/config_message.rs
@@ -135,3 +135,39 @@
     #[prost(string, repeated, tag = "2")]
     pub failed: Vec<String>,
 }
+
+/// Asks a collector what its data centre's nodes act on.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct FleetQuery {
+    /// Number of the question.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+}
+
+/// Versions of one node.
+#[derive(Clone, Copy, Message, PartialEq)]
+pub struct NodeVersions {
+    /// Node.
+    #[prost(fixed64, tag = "1")]
+    pub node: u64,
+    /// Newest version held.
+    #[prost(uint64, tag = "2")]
+    pub held: u64,
+    /// Version in force.
+    #[prost(uint64, tag = "3")]
+    pub active: u64,
+}
+
+/// Versions of a data centre's nodes, as its collector knows them.
+#[derive(Clone, Message, PartialEq)]
+pub struct FleetReport {
+    /// Number of the question.
+    #[prost(uint64, tag = "1")]
+    pub number: u64,
+    /// Data centre.
+    #[prost(string, tag = "2")]
+    pub data_centre: String,
+    /// Its nodes.
+    #[prost(message, repeated, tag = "3")]
+    pub nodes: Vec<NodeVersions>,
+}
--- a/crates/sequoiagw-protocol/src/peer_frame.rs
+++ b/crates/sequoiagw-protocol/src/peer_frame.rs
@@ -16,6 +16,8 @@
 use crate::ConfigDelta;
 use crate::ConfigFull;
 use crate::ConfigRequest;
+use crate::FleetQuery;
+use crate::FleetReport;
 use crate::JoinRequest;
 use crate::LinkHello;
 use crate::NodeId;
@@ -38,7 +40,7 @@
     /// Content.
     #[prost(
         oneof = "FrameBody",
-        tags = "10, 11, 12, 13, 14, 15, 20, 21, 22, 23, 24, 25, 30, 31, 32, 33, 40, 41"
+        tags = "10, 11, 12, 13, 14, 15, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 40, 41"
     )]
     pub body: Option<FrameBody>,
 }
@@ -103,6 +105,12 @@
     /// Activation.
     #[prost(message, tag = "25")]
     Activate(VersionActivate),
+    /// Question for the versions in force.
+    #[prost(message, tag = "26")]
+    FleetQuery(FleetQuery),
+    /// Versions in force.
+    #[prost(message, tag = "27")]
+    FleetReport(FleetReport),
     /// Call.
     #[prost(message, tag = "30")]
     Dispatch(CallDispatch),
@@ -132,7 +140,9 @@
             Self::Delta(_) | Self::Full(_) | Self::ConfigRequest(_) | Self::ConfigBusy(_) => {
                 FrameKind::Config
             }
-            Self::Versions(_) | Self::Activate(_) => FrameKind::Version,
+            Self::Versions(_) | Self::Activate(_) | Self::FleetQuery(_) | Self::FleetReport(_) => {
+                FrameKind::Version
+            }
             Self::Dispatch(_) | Self::Answer(_) | Self::Query(_) | Self::Cancel(_) => {
                 FrameKind::Call
             }
