--- /dev/null
+++ b/crates/sequoiagw-cli/src/commands/completions.rs
@@ -0,0 +1,37 @@
+//! `sequoiagw completions`
+
+use clap::value_parser;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use clap_complete::generate;
+use clap_complete::Shell;
+
+use crate::cli_error::CliError;
+use crate::command_entry::CommandEntry;
+use crate::program::program;
+
+pub(crate) const ENTRY: CommandEntry = CommandEntry {
+    name: "completions",
+    build,
+    run,
+};
+
+fn build() -> Command {
+    Command::new(ENTRY.name)
+        .about("Print completions for a shell")
+        .after_help("Example: sequoiagw completions bash > sequoiagw.bash")
+        .arg(
+            Arg::new("shell")
+                .required(true)
+                .value_parser(value_parser!(Shell)),
+        )
+}
+
+fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let shell = matches
+        .get_one::<Shell>("shell")
+        .ok_or_else(|| CliError::Invalid("no shell is named".to_owned()))?;
+    generate(*shell, &mut program(), "sequoiagw", &mut std::io::stdout());
+    Ok(())
+}
--- /dev/null
+++ b/crates/sequoiagw-cli/src/commands/config_apply.rs
@@ -0,0 +1,168 @@
+//! `sequoiagw config apply`
+
+use std::path::PathBuf;
+use std::time::Duration;
+use std::time::Instant;
+
+use clap::value_parser;
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use rand::Rng;
+use sequoiagw_config::MeshConfig;
+
+use crate::admin_client::AdminClient;
+use crate::admin_client::ChangeRequest;
+use crate::cli_error::CliError;
+use crate::command_entry::CommandEntry;
+
+pub(crate) const ENTRY: CommandEntry = CommandEntry {
+    name: "apply",
+    build,
+    run,
+};
+
+/// Time between two looks at the fleet while waiting.
+const LOOK_PERIOD: Duration = Duration::from_millis(300);
+
+fn build() -> Command {
+    Command::new(ENTRY.name)
+        .about("Have a configuration accepted")
+        .after_help(
+            "Example: sequoiagw config apply mesh.toml --message \"faster lookups\" --wait\n\
+             The token for changes is read from SEQUOIAGW_TOKEN.",
+        )
+        .arg(file_arg())
+        .arg(
+            Arg::new("base")
+                .long("base")
+                .value_name("VERSION")
+                .value_parser(value_parser!(u64))
+                .help("Version the file was made from [default: the newest]"),
+        )
+        .arg(
+            Arg::new("change-id")
+                .long("change-id")
+                .value_name("ID")
+                .help("Id of an unconfirmed change that is applied again"),
+        )
+        .arg(message_arg())
+        .args(wait_args())
+        .arg(AdminClient::arg())
+}
+
+fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let (source, _) = read_config_file(matches)?;
+    let client = AdminClient::of(matches);
+    let base = match matches.get_one::<u64>("base") {
+        Some(base) => *base,
+        None => client.config()?.version,
+    };
+    submit(&client, matches, &source, base)
+}
+
+/// The argument for a configuration file.
+pub(crate) fn file_arg() -> Arg {
+    Arg::new("file")
+        .value_name("FILE")
+        .required(true)
+        .value_parser(value_parser!(PathBuf))
+}
+
+/// The argument for the reason of a change.
+pub(crate) fn message_arg() -> Arg {
+    Arg::new("message")
+        .long("message")
+        .value_name("TEXT")
+        .default_value("")
+        .help("Why")
+}
+
+/// The arguments for waiting until a change is in force.
+pub(crate) fn wait_args() -> [Arg; 2] {
+    [
+        Arg::new("wait")
+            .long("wait")
+            .action(ArgAction::SetTrue)
+            .help("Wait until the change is in force at every node"),
+        Arg::new("wait-seconds")
+            .long("wait-seconds")
+            .value_parser(value_parser!(u64).range(1..=3600))
+            .default_value("30")
+            .help("How long to wait"),
+    ]
+}
+
+/// Reads and checks the file argument.
+pub(crate) fn read_config_file(matches: &ArgMatches) -> Result<(String, MeshConfig), CliError> {
+    let file = matches
+        .get_one::<PathBuf>("file")
+        .cloned()
+        .unwrap_or_default();
+    let source = std::fs::read_to_string(&file)
+        .map_err(|error| CliError::Invalid(format!("{}: {error}", file.display())))?;
+    let config = MeshConfig::from_toml(&source)
+        .map_err(|error| CliError::Invalid(format!("{}: {error}", file.display())))?;
+    Ok((source, config))
+}
+
+/// Has a change accepted, and waits for it if asked to.
+pub(crate) fn submit(
+    client: &AdminClient,
+    matches: &ArgMatches,
+    source: &str,
+    base: u64,
+) -> Result<(), CliError> {
+    let fresh_id = format!("{:032x}", rand::rng().random::<u128>());
+    let given = matches.try_get_one::<String>("change-id").ok().flatten();
+    let change_id = given.unwrap_or(&fresh_id);
+    let message = matches
+        .get_one::<String>("message")
+        .map_or("", String::as_str);
+    let change = ChangeRequest {
+        source,
+        base,
+        change_id,
+        message,
+    };
+    let version = client.apply(&change)?;
+    println!("accepted as version {version}");
+    if matches.get_flag("wait") {
+        let seconds = matches
+            .get_one::<u64>("wait-seconds")
+            .copied()
+            .unwrap_or(30);
+        wait_for(client, version, Duration::from_secs(seconds))?;
+    }
+    Ok(())
+}
+
+/// Waits until a version is in force at every node and shows the progress.
+fn wait_for(client: &AdminClient, version: u64, limit: Duration) -> Result<(), CliError> {
+    let started = Instant::now();
+    loop {
+        let fleet = client.fleet()?;
+        let total: usize = fleet
+            .data_centres
+            .values()
+            .map(|centre| centre.versions.len())
+            .sum();
+        let behind = fleet.behind(version);
+        eprintln!("in force at {} of {total} nodes", total - behind.len());
+        if behind.is_empty() && total > 0 {
+            println!(
+                "in force everywhere after {:.1} s",
+                started.elapsed().as_secs_f64()
+            );
+            return Ok(());
+        }
+        if started.elapsed() >= limit {
+            return Err(CliError::NotEverywhere {
+                version,
+                behind: behind.join(", "),
+            });
+        }
+        std::thread::sleep(LOOK_PERIOD);
+    }
+}
--- /dev/null
+++ b/crates/sequoiagw-cli/src/commands/demo.rs
@@ -0,0 +1,31 @@
+//! `sequoiagw demo`
+
+use clap::ArgMatches;
+use clap::Command;
+use tokio::task::LocalSet;
+
+use crate::cli_error::CliError;
+use crate::command_entry::CommandEntry;
+use crate::demo_run::run_demo;
+use crate::log_setup::start_logs;
+
+pub(crate) const ENTRY: CommandEntry = CommandEntry {
+    name: "demo",
+    build,
+    run,
+};
+
+fn build() -> Command {
+    Command::new(ENTRY.name)
+        .about("Run a small fleet in this process, change it, drain it, flood it")
+        .after_help("Example: sequoiagw demo\nEnds with 1 if a promise was broken.")
+}
+
+fn run(_matches: &ArgMatches) -> Result<(), CliError> {
+    start_logs("error");
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| CliError::Other(error.into()))?;
+    LocalSet::new().block_on(&runtime, run_demo())
+}
--- /dev/null
+++ b/crates/sequoiagw-cli/src/commands/node.rs
@@ -0,0 +1,45 @@
+//! `sequoiagw node`
+
+use std::path::PathBuf;
+
+use clap::value_parser;
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use sequoiagw_node::run_node;
+use sequoiagw_node::NodeSettings;
+
+use crate::cli_error::CliError;
+use crate::command_entry::CommandEntry;
+use crate::log_setup::start_logs;
+
+pub(crate) const ENTRY: CommandEntry = CommandEntry {
+    name: "node",
+    build,
+    run,
+};
+
+fn build() -> Command {
+    Command::new(ENTRY.name)
+        .about("Run a node until it is told to leave")
+        .after_help("Example: sequoiagw node --settings samples/node-a.toml")
+        .arg(
+            Arg::new("settings")
+                .long("settings")
+                .value_name("FILE")
+                .required(true)
+                .value_parser(value_parser!(PathBuf))
+                .help("The node's settings"),
+        )
+}
+
+fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let file = matches
+        .get_one::<PathBuf>("settings")
+        .cloned()
+        .unwrap_or_default();
+    let settings =
+        NodeSettings::from_file(&file).map_err(|error| CliError::Invalid(error.to_string()))?;
+    start_logs(&settings.log_level);
+    Ok(run_node(settings)?)
+}
--- /dev/null
+++ b/crates/sequoiagw-cli/src/demo_run.rs
@@ -0,0 +1,218 @@
+//! The demonstration: real nodes in one process, on memory links and a memory store.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sequoiagw_config::ConfigException;
+use sequoiagw_config::ExceptionScope;
+use sequoiagw_config::MeshConfig;
+use sequoiagw_config::RawValue;
+use sequoiagw_config::SettingName;
+use sequoiagw_standin::BackendPlan;
+use sequoiagw_standin::EntryList;
+use sequoiagw_standin::FleetPlan;
+use sequoiagw_standin::LoadDriver;
+use sequoiagw_standin::LoadStream;
+use sequoiagw_standin::LoadTally;
+use sequoiagw_standin::SmallFleet;
+use tokio::time::timeout;
+use tokio::time::Instant;
+
+use crate::cli_error::CliError;
+use crate::output_format::table_with;
+
+/// Configuration of the demonstration.
+const DEMO_MESH: &str = include_str!("../../../samples/mesh.toml");
+/// Time in which a change has to be in force everywhere.
+const CHANGE_LIMIT: Duration = Duration::from_secs(7);
+/// Time in which the fleet has to be ready.
+const START_LIMIT: Duration = Duration::from_secs(15);
+/// Time of steady load.
+const STEADY_TIME: Duration = Duration::from_secs(8);
+/// Time of the flood.
+const FLOOD_TIME: Duration = Duration::from_secs(4);
+
+/// Runs the demonstration.
+///
+/// Errors: a promise was broken.
+pub(crate) async fn run_demo() -> Result<(), CliError> {
+    let mesh = MeshConfig::from_toml(DEMO_MESH).map_err(|error| broken(&error.to_string()))?;
+    let mut fleet = start_fleet(&mesh).await?;
+    let entries: EntryList = Rc::new(RefCell::new(
+        fleet.nodes.iter().map(|node| node.handle.clone()).collect(),
+    ));
+    let driver = LoadDriver::new(Rc::clone(&entries), fleet.log.clone(), 1);
+    let steady = steady_streams();
+    let load = driver.drive(&steady, STEADY_TIME);
+    let events = change_and_drain(&mut fleet, &entries, &mesh);
+    let (steady_tally, changed) = tokio::join!(load, events);
+    changed?;
+    println!(
+        "flooding the lowest rank of the press service for {} s",
+        FLOOD_TIME.as_secs()
+    );
+    let flood = LoadDriver::new(entries, fleet.log.clone(), 2);
+    let flood_tally = flood.drive(&flood_streams(), FLOOD_TIME).await;
+    print_tally("steady load, with two changes and a drain", &steady_tally);
+    print_tally("flood of the lowest rank", &flood_tally);
+    check_promises(&fleet, &steady_tally, &flood_tally)
+}
+
+async fn start_fleet(mesh: &MeshConfig) -> Result<SmallFleet, CliError> {
+    let plan = FleetPlan {
+        data_centres: 2,
+        nodes: 8,
+        backend: BackendPlan {
+            slots: 4,
+            ..BackendPlan::default()
+        },
+        ..FleetPlan::default()
+    };
+    let started = Instant::now();
+    let fleet = SmallFleet::start(plan);
+    let accepted = fleet
+        .accept(mesh.clone(), "demo-1")
+        .await
+        .map_err(|error| broken(&error.to_string()))?;
+    let ready = async {
+        fleet.wait_version(accepted.version).await;
+        fleet.wait_members().await;
+    };
+    timeout(START_LIMIT, ready)
+        .await
+        .map_err(|_| broken("the fleet wasn't ready in time"))?;
+    println!(
+        "8 nodes of 2 services in 2 data centres are ready after {:.1} s",
+        started.elapsed().as_secs_f64()
+    );
+    Ok(fleet)
+}
+
+fn stream(name: &str, route: &str, rate: f64, keyed: bool) -> LoadStream {
+    LoadStream {
+        name: name.to_owned(),
+        route: route.to_owned(),
+        rate,
+        keyed,
+        callers: 20,
+    }
+}
+
+fn steady_streams() -> Vec<LoadStream> {
+    vec![
+        stream("urgent", "change-die", 60.0, true),
+        stream("normal", "place-payment", 60.0, true),
+        stream("bulk", "list-dies", 150.0, false),
+    ]
+}
+
+fn flood_streams() -> Vec<LoadStream> {
+    vec![
+        stream("urgent", "change-die", 60.0, true),
+        stream("normal", "place-payment", 60.0, true),
+        stream("bulk", "list-dies", 2000.0, false),
+    ]
+}
+
+/// Accepts a change and an exception and drains a node, all under load.
+async fn change_and_drain(
+    fleet: &mut SmallFleet,
+    entries: &EntryList,
+    mesh: &MeshConfig,
+) -> Result<(), CliError> {
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let mut changed = mesh.clone();
+    changed
+        .defaults
+        .insert(SettingName::Timeout, RawValue::Text("1500ms".to_owned()));
+    accept(fleet, changed.clone(), "a default changed").await?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let exception = ConfigException {
+        setting: SettingName::Timeout,
+        value: RawValue::Text("3s".to_owned()),
+        scope: ExceptionScope {
+            service: Some("press".to_owned()),
+            ..ExceptionScope::default()
+        },
+        reason: "the demonstration shows an exception".to_owned(),
+        expires: None,
+    };
+    changed
+        .exceptions
+        .insert("slow-press".to_owned(), exception);
+    accept(fleet, changed, "an exception was added").await?;
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    let started = Instant::now();
+    let leaving = fleet.nodes.len() - 1;
+    entries.borrow_mut().remove(leaving);
+    fleet.drain_node(leaving).await;
+    println!(
+        "node-{leaving} left under load after {:.1} s",
+        started.elapsed().as_secs_f64()
+    );
+    Ok(())
+}
+
+async fn accept(fleet: &SmallFleet, mesh: MeshConfig, what: &str) -> Result<(), CliError> {
+    let started = Instant::now();
+    let accepted = fleet
+        .accept(mesh, what)
+        .await
+        .map_err(|error| broken(&error.to_string()))?;
+    timeout(CHANGE_LIMIT, fleet.wait_version(accepted.version))
+        .await
+        .map_err(|_| broken("a change wasn't in force everywhere within 7 s"))?;
+    println!(
+        "{what}: version {} in force everywhere after {:.3} s",
+        accepted.version,
+        started.elapsed().as_secs_f64()
+    );
+    Ok(())
+}
+
+fn print_tally(title: &str, tally: &LoadTally) {
+    println!("\n{title}");
+    let mut table = table_with(&["rank", "sent", "served", "p50 ms", "p99 ms", "refused"]);
+    for (name, stream) in &tally.streams {
+        let refused: Vec<String> = stream
+            .refused
+            .iter()
+            .map(|(kind, count)| format!("{kind} {count}"))
+            .collect();
+        let millis = |share| format!("{:.1}", stream.latency(share).as_secs_f64() * 1e3);
+        table.add_row([
+            name.clone(),
+            stream.sent.to_string(),
+            stream.served.to_string(),
+            millis(0.5),
+            millis(0.99),
+            refused.join(", "),
+        ]);
+    }
+    println!("{table}");
+}
+
+fn check_promises(
+    fleet: &SmallFleet,
+    steady: &LoadTally,
+    flood: &LoadTally,
+) -> Result<(), CliError> {
+    let doubled = fleet.log.doubled();
+    let double_runs = doubled.iter().filter(|id| !id.starts_with("bulk")).count();
+    let totals = [steady.total(), flood.total()];
+    // Under steady load every request is answered, so any other end cuts it.
+    let cut = totals[0].sent - totals[0].served;
+    let wrong: u64 = totals.iter().map(|total| total.wrong).sum();
+    let false_not_run: u64 = totals.iter().map(|total| total.false_not_run).sum();
+    println!("\ndouble_runs={double_runs} cut_requests={cut} wrong_answers={wrong} false_not_run={false_not_run}");
+    if double_runs > 0 || cut > 0 || wrong > 0 || false_not_run > 0 {
+        return Err(broken("see the line above"));
+    }
+    println!("every promise held");
+    Ok(())
+}
+
+fn broken(detail: &str) -> CliError {
+    CliError::Broken(detail.to_owned())
+}
--- /dev/null
+++ b/crates/sequoiagw-cli/src/lib.rs
@@ -0,0 +1,13 @@
+//! The command line: each command is a file under `commands` with its description,
+//! arguments and examples beside its run function.
+
+mod admin_client;
+mod cli_error;
+mod command_entry;
+mod commands;
+mod demo_run;
+mod log_setup;
+mod output_format;
+mod program;
+
+pub use program::run;
--- a/crates/sequoiagw-standin/src/lib.rs
+++ b/crates/sequoiagw-standin/src/lib.rs
@@ -3,6 +3,8 @@
 
 mod backend_http;
 mod backend_model;
+mod load_driver;
+mod load_tally;
 mod memory_backend;
 mod memory_links;
 mod memory_store;
@@ -17,6 +19,11 @@
 pub use backend_model::BackendPlan;
 pub use backend_model::ModelAnswer;
 pub use backend_model::RunLog;
+pub use load_driver::EntryList;
+pub use load_driver::LoadDriver;
+pub use load_driver::LoadStream;
+pub use load_tally::LoadTally;
+pub use load_tally::StreamTally;
 pub use memory_backend::MemoryBackend;
 pub use memory_links::MemoryLinks;
 pub use memory_links::MemoryNetwork;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,1 +1,7 @@
-fn main() {}
+//! The `sequoiagw` program.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    sequoiagw_cli::run()
+}
