Meet the backend server on the node's own runtime

Cause: ureq blocks, so each call went to another thread and back, and a call that has to be cancelled ran on to its deadline. Ruled out: the framed hop and the HTTP edge, which did not change here. Change: hyper's client connection on the node's runtime, with a small pool; an aborted or overdue run drops its connection, which cancels it at the server.

--- a/crates/sequoiagw-node/src/backend_client.rs
+++ b/crates/sequoiagw-node/src/backend_client.rs
@@ -1,19 +1,31 @@
-//! The backend server met over HTTP.
+//! The backend server met over HTTP, on the node's own runtime.
 
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Full;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper::header::HOST;
+use hyper::http::request::Builder;
+use hyper::Request;
+use hyper::Response;
+use hyper_util::rt::TokioIo;
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::RunId;
 use sequoiagw_policy::RunRequest;
 use sequoiagw_protocol::CallDispatch;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+use tokio::time::timeout_at;
 use tokio::time::Instant;
-use ureq::http::request::Builder;
-use ureq::http::Request;
-use ureq::http::Response;
-use ureq::Agent;
-use ureq::AsSendBody;
-use ureq::Body;
 
 use crate::http_headers::passed_on;
 use crate::http_headers::DEADLINE_HEADER;
@@ -31,89 +43,137 @@
 /// Time a connection may take to be made.
 const CONNECT_TIME: Duration = Duration::from_millis(500);
 /// Largest answer in bytes.
-const ANSWER_LIMIT: u64 = 3 * 1024 * 1024;
+const ANSWER_LIMIT: usize = 3 * 1024 * 1024;
 /// Status of an answer by which a backend server sheds work.
 const STATUS_UNAVAILABLE: u16 = 503;
 
+type BackendSender = SendRequest<Full<Bytes>>;
+
+/// An unused connection.
+struct IdleConnection {
+    address: String,
+    sender: BackendSender,
+    since: Instant,
+}
+
+/// What the runs share.
+#[derive(Default)]
+struct BackendState {
+    idle: Vec<IdleConnection>,
+    runs: HashMap<RunId, AbortHandle>,
+}
+
 /// Client of the backend server on this host.
-#[derive(Debug)]
 pub struct HttpBackend {
-    agent: Agent,
+    state: Rc<RefCell<BackendState>>,
     events: EventSender,
 }
 
 impl HttpBackend {
     /// Builds the client.
     pub fn new(events: EventSender) -> Self {
-        let agent = Agent::config_builder()
-            .http_status_as_error(false)
-            .max_idle_connections(IDLE_CONNECTIONS)
-            .max_idle_connections_per_host(IDLE_CONNECTIONS)
-            .max_idle_age(IDLE_TIME)
-            .max_redirects(0)
-            .timeout_connect(Some(CONNECT_TIME))
-            .build()
-            .new_agent();
-        Self { agent, events }
+        Self {
+            state: Rc::default(),
+            events,
+        }
     }
 }
 
 impl BackendServer for HttpBackend {
     fn run(&self, address: &str, request: RunRequest) {
-        let agent = self.agent.clone();
+        let state = Rc::clone(&self.state);
         let events = self.events.clone();
         let address = address.to_owned();
-        tokio::task::spawn_blocking(move || {
-            let result = run_blocking(&agent, &address, &request);
-            let _ = events.send(CoreEvent::BackendDone(request.run, result));
+        let run = request.run;
+        let task = tokio::task::spawn_local(async move {
+            let deadline = request.deadline;
+            let running = run_call(&state, &address, &request.dispatch);
+            // Past the deadline the connection is dropped, which cancels the request.
+            let result = timeout_at(deadline, running)
+                .await
+                .unwrap_or(BackendResult::Aborted);
+            state.borrow_mut().runs.remove(&run);
+            let _ = events.send(CoreEvent::BackendDone(run, result));
         });
+        self.state
+            .borrow_mut()
+            .runs
+            .insert(run, task.abort_handle());
     }
 
-    fn abort(&self, _run: RunId) {
-        // The blocking client ends a run only at its deadline.
+    fn abort(&self, run: RunId) {
+        let task = self.state.borrow_mut().runs.remove(&run);
+        if let Some(task) = task {
+            task.abort();
+            let _ = self
+                .events
+                .send(CoreEvent::BackendDone(run, BackendResult::Aborted));
+        }
     }
 }
 
-fn run_blocking(agent: &Agent, address: &str, request: &RunRequest) -> BackendResult {
-    let remaining = request.deadline.saturating_duration_since(Instant::now());
-    let dispatch = &request.dispatch;
-    let builder = request_head(address, dispatch);
-    let sent = if dispatch.body.is_empty() {
-        builder
-            .body(())
-            .map(|request| run_request(agent, request, remaining))
-    } else {
-        builder
-            .body(&dispatch.body[..])
-            .map(|request| run_request(agent, request, remaining))
+async fn run_call(
+    state: &Rc<RefCell<BackendState>>,
+    address: &str,
+    dispatch: &CallDispatch,
+) -> BackendResult {
+    let Some(mut sender) = open_connection(state, address).await else {
+        return BackendResult::Refused;
+    };
+    let Ok(request) = request_head(address, dispatch).body(Full::new(dispatch.body.clone())) else {
+        return BackendResult::Refused;
     };
-    match sent {
-        Ok(Ok(response)) => read_answer(response),
-        Ok(Err(error)) => result_of(&error),
-        Err(_) => BackendResult::Refused,
+    let Ok(response) = sender.send_request(request).await else {
+        return BackendResult::Broken;
+    };
+    let result = read_answer(response).await;
+    keep_connection(state, address, sender);
+    result
+}
+
+/// Takes an unused connection that still stands, or makes one.
+async fn open_connection(
+    state: &Rc<RefCell<BackendState>>,
+    address: &str,
+) -> Option<BackendSender> {
+    loop {
+        let idle = state.borrow_mut().idle.pop();
+        let Some(idle) = idle else {
+            break;
+        };
+        let usable = idle.address == address && idle.since.elapsed() < IDLE_TIME;
+        if usable && idle.sender.is_ready() {
+            return Some(idle.sender);
+        }
     }
+    let stream = timeout(CONNECT_TIME, TcpStream::connect(address))
+        .await
+        .ok()?
+        .ok()?;
+    stream.set_nodelay(true).ok()?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+    tokio::task::spawn_local(connection);
+    sender.ready().await.ok()?;
+    Some(sender)
 }
 
-fn run_request<Content>(
-    agent: &Agent,
-    request: Request<Content>,
-    remaining: Duration,
-) -> Result<Response<Body>, ureq::Error>
-where
-    Content: AsSendBody,
-{
-    agent.run(
-        agent
-            .configure_request(request)
-            .timeout_global(Some(remaining))
-            .build(),
-    )
+fn keep_connection(state: &Rc<RefCell<BackendState>>, address: &str, sender: BackendSender) {
+    let mut state = state.borrow_mut();
+    if state.idle.len() < IDLE_CONNECTIONS && !sender.is_closed() {
+        let address = address.to_owned();
+        state.idle.push(IdleConnection {
+            address,
+            sender,
+            since: Instant::now(),
+        });
+    }
 }
 
 fn request_head(address: &str, dispatch: &CallDispatch) -> Builder {
     let mut builder = Request::builder()
         .method(dispatch.method.as_str())
-        .uri(format!("http://{address}{}", dispatch.path))
+        .uri(dispatch.path.as_str())
+        .header(HOST, address)
         .header(DEADLINE_HEADER, dispatch.remaining_ms.to_string())
         .header(PRIORITY_HEADER, format!("u={}", dispatch.rank))
         .header(REQUEST_ID_HEADER, dispatch.request_id.as_str());
@@ -123,7 +183,7 @@
     builder
 }
 
-fn read_answer(mut response: Response<Body>) -> BackendResult {
+async fn read_answer(response: Response<Incoming>) -> BackendResult {
     let status = response.status().as_u16();
     if status == STATUS_UNAVAILABLE && response.headers().contains_key(NOT_RUN_HEADER) {
         return BackendResult::Shed;
@@ -133,32 +193,15 @@
         .iter()
         .filter_map(|(name, value)| Some((name.as_str(), value.to_str().ok()?)));
     let headers = passed_on(pairs);
-    match response
-        .body_mut()
-        .with_config()
-        .limit(ANSWER_LIMIT)
-        .read_to_vec()
+    match Limited::new(response.into_body(), ANSWER_LIMIT)
+        .collect()
+        .await
     {
         Ok(body) => BackendResult::Answered {
             status,
             headers,
-            body: Bytes::from(body),
+            body: body.to_bytes(),
         },
-        Err(ureq::Error::Timeout(_)) => BackendResult::Aborted,
         Err(_) => BackendResult::Truncated,
     }
 }
-
-/// Only a connection that was never made proves that nothing ran.
-fn result_of(error: &ureq::Error) -> BackendResult {
-    match error {
-        ureq::Error::ConnectionFailed
-        | ureq::Error::HostNotFound
-        | ureq::Error::Timeout(ureq::Timeout::Connect) => BackendResult::Refused,
-        ureq::Error::Io(error) if error.kind() == std::io::ErrorKind::ConnectionRefused => {
-            BackendResult::Refused
-        }
-        ureq::Error::Timeout(_) => BackendResult::Aborted,
-        _ => BackendResult::Broken,
-    }
-}
