Add the flood, faults, drain and converge measurements

Cause: service by rank, at most once, draining and convergence need figures and a naive version beside them. Change: four measurements over real nodes in one process on the paused clock; first in first out and strict priority beside the rank queue in each flood.

--- /dev/null
+++ b/crates/sequoiagw-bench/src/commands/faults.rs
@@ -0,0 +1,235 @@
+//! `faults`: at most once, true refusals and recovery under faults. Real nodes in one
+//! process on the paused clock.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use clap::ArgMatches;
+use clap::Command;
+use sequoiagw_standin::BackendPlan;
+use sequoiagw_standin::EntryList;
+use sequoiagw_standin::FleetPlan;
+use sequoiagw_standin::LoadDriver;
+use sequoiagw_standin::LoadTally;
+use sequoiagw_standin::NetworkPlan;
+use sequoiagw_standin::SmallFleet;
+
+use crate::bench_mesh::mesh_of;
+use crate::bench_mesh::service_names;
+use crate::commands::number;
+use crate::commands::seed_arg;
+use crate::commands::BenchEntry;
+use crate::fleet_setup::entries_of;
+use crate::fleet_setup::rank_streams;
+use crate::fleet_setup::ready_fleet;
+use crate::fleet_setup::refresh_entries;
+use crate::paused_run::on_paused_clock;
+use crate::report_line::ReportLine;
+
+pub(crate) const ENTRY: BenchEntry = BenchEntry {
+    name: "faults",
+    build,
+    run,
+};
+
+/// Nodes of the fleet.
+const NODE_COUNT: usize = 16;
+/// Time of steady load before the fault.
+const BEFORE_S: u64 = 4;
+/// Time for which a fault lasts.
+const FAULT_S: u64 = 6;
+/// Time of load after the fault.
+const AFTER_S: u64 = 12;
+/// Calls a second by rank.
+const RATES: [f64; 3] = [80.0, 80.0, 160.0];
+
+/// One kind of fault.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum FaultKind {
+    /// Half of the nodes die and come back.
+    Herd,
+    /// A third of all links go silent.
+    SilentLinks,
+    /// Frames are lost, delayed and crossed; the store loses answers.
+    LostAnswers,
+    /// Two nodes are paused past any lease.
+    Pause,
+    /// The store is down.
+    StoreDown,
+    /// One data centre is cut off.
+    Cut,
+    /// Backend servers break connections after they ran a request.
+    BrokenBackends,
+}
+
+const FAULTS: &[FaultKind] = &[
+    FaultKind::Herd,
+    FaultKind::SilentLinks,
+    FaultKind::LostAnswers,
+    FaultKind::Pause,
+    FaultKind::StoreDown,
+    FaultKind::Cut,
+    FaultKind::BrokenBackends,
+];
+
+fn build() -> Command {
+    Command::new(ENTRY.name)
+        .about("Double runs, false refusals, wrong answers and recovery under each fault")
+        .arg(seed_arg())
+}
+
+fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let seed = number(matches, "seed");
+    println!("real nodes in one process on the paused clock");
+    let mut totals = FaultTotals::default();
+    for fault in FAULTS {
+        let (tally, doubled) = on_paused_clock(measure(*fault, seed))??;
+        totals.add(*fault, &tally, doubled);
+    }
+    totals.print();
+    Ok(())
+}
+
+/// Figures of all faults.
+#[derive(Default)]
+struct FaultTotals {
+    double_runs: usize,
+    false_not_run: u64,
+    wrong: u64,
+    unknown: u64,
+    sent: u64,
+    recovery_s: u64,
+}
+
+impl FaultTotals {
+    fn add(&mut self, fault: FaultKind, tally: &LoadTally, doubled: usize) {
+        let total = tally.total();
+        let recovery_s = recovery_seconds(tally);
+        let mut kinds: BTreeMap<&str, u64> = BTreeMap::new();
+        for (kind, count) in &total.refused {
+            kinds.insert(kind.rule().name, *count);
+        }
+        println!(
+            "{fault:?}: sent {} served {} unknown {} unanswered {} double runs {doubled} false not \
+             run {} wrong {} recovery {recovery_s} s refused {kinds:?}",
+            total.sent,
+            total.served,
+            total.unknown(),
+            total.unanswered,
+            total.false_not_run,
+            total.wrong
+        );
+        self.double_runs += doubled;
+        self.false_not_run += total.false_not_run;
+        self.wrong += total.wrong;
+        self.unknown += total.unknown();
+        self.sent += total.sent;
+        self.recovery_s = self.recovery_s.max(recovery_s);
+    }
+
+    fn print(&self) {
+        ReportLine::default()
+            .with("double_runs", self.double_runs)
+            .with("false_not_run", self.false_not_run)
+            .with("wrong_answers", self.wrong)
+            .number(
+                "unknown_share",
+                self.unknown as f64 / self.sent.max(1) as f64,
+            )
+            .with("recovery_s", self.recovery_s)
+            .with("calls", self.sent)
+            .print();
+    }
+}
+
+/// Seconds after the fault's end until the goodput stays at 95% of the earlier one.
+fn recovery_seconds(tally: &LoadTally) -> u64 {
+    let served = |second: u64| tally.served_by_second.get(&second).copied().unwrap_or(0);
+    let before: u64 = (1..BEFORE_S).map(served).sum::<u64>() / (BEFORE_S - 1);
+    let wanted = before * 95 / 100;
+    let end = BEFORE_S + FAULT_S;
+    // Two seconds are taken together, so that the arrivals' randomness doesn't count.
+    let low = |second: &u64| (served(*second) + served(second + 1)) / 2 < wanted;
+    let last_low = (end..end + AFTER_S - 2).filter(low).max();
+    last_low.map_or(0, |second| second + 1 - end)
+}
+
+async fn measure(fault: FaultKind, seed: u64) -> eyre::Result<(LoadTally, usize)> {
+    let services = service_names(2);
+    let broken = fault == FaultKind::BrokenBackends;
+    let plan = FleetPlan {
+        data_centres: 2,
+        nodes: NODE_COUNT,
+        services: services.clone(),
+        backend: BackendPlan {
+            break_rate: if broken { 0.02 } else { 0.0 },
+            ..BackendPlan::default()
+        },
+        network: NetworkPlan::default(),
+        seed,
+    };
+    let mut fleet = ready_fleet(plan, mesh_of(&services, "1500ms", "")?).await?;
+    let entries = entries_of(&fleet);
+    let driver = LoadDriver::new(entries.clone(), fleet.log.clone(), seed);
+    let streams = rank_streams(&services, RATES, true);
+    let time = Duration::from_secs(BEFORE_S + FAULT_S + AFTER_S);
+    let disturbed = disturb(fault, &mut fleet, &entries);
+    let (tally, ()) = tokio::join!(driver.drive(&streams, time), disturbed);
+    let doubled = fleet.log.doubled();
+    let doubled = doubled.iter().filter(|id| !id.starts_with("bulk")).count();
+    Ok((tally, doubled))
+}
+
+async fn disturb(fault: FaultKind, fleet: &mut SmallFleet, entries: &EntryList) {
+    tokio::time::sleep(Duration::from_secs(BEFORE_S)).await;
+    let fault_time = Duration::from_secs(FAULT_S);
+    match fault {
+        FaultKind::Herd => {
+            for index in (0..NODE_COUNT).step_by(2) {
+                fleet.kill_node(index);
+            }
+            refresh_entries(fleet, entries);
+            tokio::time::sleep(fault_time).await;
+            for index in (0..NODE_COUNT).step_by(2) {
+                fleet.start_node(index);
+            }
+            refresh_entries(fleet, entries);
+        }
+        FaultKind::SilentLinks => {
+            fleet.network.silence_share(0.33);
+            tokio::time::sleep(fault_time).await;
+        }
+        FaultKind::LostAnswers => {
+            fleet.store.set_faults(|faults| faults.lost_answers = 0.2);
+            let jitter = Duration::from_millis(60);
+            fleet.network.set_plan(NetworkPlan {
+                loss: 0.05,
+                jitter,
+                ..NetworkPlan::default()
+            });
+            tokio::time::sleep(fault_time).await;
+            fleet.store.set_faults(|faults| faults.lost_answers = 0.0);
+            fleet.network.set_plan(NetworkPlan::default());
+        }
+        FaultKind::Pause => {
+            for index in [1, 4] {
+                fleet.pause_node(index, true);
+            }
+            tokio::time::sleep(fault_time * 2).await;
+            for index in [1, 4] {
+                fleet.pause_node(index, false);
+            }
+        }
+        FaultKind::StoreDown => {
+            fleet.store.set_faults(|faults| faults.down = true);
+            tokio::time::sleep(fault_time).await;
+            fleet.store.set_faults(|faults| faults.down = false);
+        }
+        FaultKind::Cut => {
+            fleet.cut_centre("dc1", true);
+            tokio::time::sleep(fault_time).await;
+            fleet.cut_centre("dc1", false);
+        }
+        FaultKind::BrokenBackends => tokio::time::sleep(fault_time).await,
+    }
+}
--- a/crates/sequoiagw-bench/src/commands/mod.rs
+++ b/crates/sequoiagw-bench/src/commands/mod.rs
@@ -1,5 +1,9 @@
 //! All measurements.
 
+mod converge;
+mod drain;
+mod faults;
+mod flood;
 mod path;
 
 use clap::Arg;
@@ -17,7 +21,13 @@
 }
 
 /// All measurements.
-pub(crate) const ENTRIES: &[BenchEntry] = &[path::ENTRY];
+pub(crate) const ENTRIES: &[BenchEntry] = &[
+    path::ENTRY,
+    flood::ENTRY,
+    faults::ENTRY,
+    drain::ENTRY,
+    converge::ENTRY,
+];
 
 /// The argument for the seed.
 pub(crate) fn seed_arg() -> Arg {
--- a/crates/sequoiagw-bench/src/main.rs
+++ b/crates/sequoiagw-bench/src/main.rs
@@ -2,6 +2,8 @@
 
 mod bench_mesh;
 mod commands;
+mod fleet_setup;
+mod naive_queue;
 mod path_caller;
 mod paused_run;
 mod report_line;
--- /dev/null
+++ b/crates/sequoiagw-bench/src/naive_queue.rs
@@ -0,0 +1,161 @@
+//! Naive queues for comparison: a target takes calls in order of arrival, or strictly by
+//! rank, without shares, early refusals or reserved slots. One step of a millisecond at a
+//! time, targets chosen at random.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sequoiagw_protocol::ErrorKind;
+use sequoiagw_standin::LoadTally;
+
+/// Order of a naive queue.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum NaiveOrder {
+    /// First in, first out.
+    Fifo,
+    /// The most urgent first, always.
+    StrictPriority,
+}
+
+impl NaiveOrder {
+    /// Name in tables.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Fifo => "fifo",
+            Self::StrictPriority => "strict",
+        }
+    }
+}
+
+/// Sizes of a naive run.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct NaiveShape {
+    /// Targets.
+    pub(crate) targets: usize,
+    /// Slots of each.
+    pub(crate) slots: usize,
+    /// Calls that may wait at each.
+    pub(crate) queue_limit: usize,
+    /// Mean service time.
+    pub(crate) service_time: Duration,
+    /// Time a call may take.
+    pub(crate) timeout: Duration,
+    /// Time of the run.
+    pub(crate) time: Duration,
+    /// Seed.
+    pub(crate) seed: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct NaiveCall {
+    rank: usize,
+    arrived_ms: u64,
+    number: u64,
+}
+
+#[derive(Default)]
+struct NaiveTarget {
+    waiting: BTreeMap<(usize, u64), NaiveCall>,
+    running: Vec<(u64, NaiveCall)>,
+}
+
+const RANK_NAMES: [&str; 3] = ["urgent", "normal", "bulk"];
+
+/// Runs a naive queue under rates of each rank in calls a second.
+pub(crate) async fn run_naive(order: NaiveOrder, rates: [f64; 3], shape: &NaiveShape) -> LoadTally {
+    let mut rng = ChaCha8Rng::seed_from_u64(shape.seed);
+    let mut targets: Vec<NaiveTarget> = Vec::new();
+    targets.resize_with(shape.targets, NaiveTarget::default);
+    let mut tally = LoadTally::default();
+    let mut number = 0;
+    let end_ms = shape.time.as_millis() as u64;
+    let last_ms = end_ms + shape.timeout.as_millis() as u64;
+    for now_ms in 0..last_ms {
+        if now_ms < end_ms {
+            for (rank, rate) in rates.iter().enumerate() {
+                for _ in 0..arrivals(rate / 1e3, &mut rng) {
+                    number += 1;
+                    let call = NaiveCall {
+                        rank,
+                        arrived_ms: now_ms,
+                        number,
+                    };
+                    tally.stream(RANK_NAMES[rank]).sent += 1;
+                    let target = rng.random_range(0..targets.len());
+                    targets[target].take(call, order, shape, &mut tally);
+                }
+            }
+        }
+        for target in &mut targets {
+            target.step(now_ms, shape, &mut rng, &mut tally);
+        }
+    }
+    tally
+}
+
+/// Number of arrivals in a step, with the given mean.
+fn arrivals(mean: f64, rng: &mut ChaCha8Rng) -> u32 {
+    let whole = mean.floor();
+    whole as u32 + u32::from(rng.random_bool(mean - whole))
+}
+
+impl NaiveTarget {
+    fn take(
+        &mut self,
+        call: NaiveCall,
+        order: NaiveOrder,
+        shape: &NaiveShape,
+        tally: &mut LoadTally,
+    ) {
+        if self.waiting.len() >= shape.queue_limit {
+            tally
+                .stream(RANK_NAMES[call.rank])
+                .note_refused(ErrorKind::QueueFull);
+            return;
+        }
+        let rank = match order {
+            NaiveOrder::Fifo => 0,
+            NaiveOrder::StrictPriority => call.rank,
+        };
+        self.waiting.insert((rank, call.number), call);
+    }
+
+    fn step(
+        &mut self,
+        now_ms: u64,
+        shape: &NaiveShape,
+        rng: &mut ChaCha8Rng,
+        tally: &mut LoadTally,
+    ) {
+        let timeout_ms = shape.timeout.as_millis() as u64;
+        self.running.retain(|(until, call)| {
+            if *until > now_ms {
+                return true;
+            }
+            let stream = tally.stream(RANK_NAMES[call.rank]);
+            let latency_ms = now_ms - call.arrived_ms;
+            if latency_ms <= timeout_ms {
+                stream.note_served(Duration::from_millis(latency_ms));
+            } else {
+                stream.note_refused(ErrorKind::DeadlineRunning);
+            }
+            false
+        });
+        while self.running.len() < shape.slots {
+            let Some((_, call)) = self.waiting.pop_first() else {
+                break;
+            };
+            if now_ms - call.arrived_ms > timeout_ms {
+                tally
+                    .stream(RANK_NAMES[call.rank])
+                    .note_refused(ErrorKind::DeadlineQueued);
+                continue;
+            }
+            let service_ms = shape.service_time.as_millis() as f64 * rng.random_range(0.5..1.5);
+            self.running.push((now_ms + service_ms as u64, call));
+        }
+    }
+}
--- a/crates/sequoiagw-standin/src/backend_model.rs
+++ b/crates/sequoiagw-standin/src/backend_model.rs
@@ -100,6 +100,7 @@
     rng: Arc<Mutex<ChaCha8Rng>>,
     log: RunLog,
     busy: Arc<Mutex<Duration>>,
+    started_runs: Arc<Mutex<u64>>,
 }
 
 impl BackendModel {
@@ -112,6 +113,7 @@
             rng: Arc::new(Mutex::new(ChaCha8Rng::seed_from_u64(seed))),
             log,
             busy: Arc::default(),
+            started_runs: Arc::default(),
         }
     }
 
@@ -125,6 +127,11 @@
         *lock(&self.busy)
     }
 
+    /// Runs started so far.
+    pub fn started_runs(&self) -> u64 {
+        *lock(&self.started_runs)
+    }
+
     /// Serves a request. Its run is noted when it starts; dropping the future cancels it.
     pub async fn serve(&self, id: &str, path: &str) -> ModelAnswer {
         let permit = if self.plan.sheds {
@@ -136,6 +143,7 @@
             return ModelAnswer::Shed;
         };
         self.log.note(id);
+        *lock(&self.started_runs) += 1;
         let time = self.service_time();
         *lock(&self.busy) += time;
         tokio::time::sleep(time).await;
