Keep lower ranks' shares when the most urgent floods

Cause: the reserved slot was kept by refusing lower ranks whenever no more than one slot was free. In a flood of the most urgent, slots come free one at a time, so lower ranks never got one. Ruled out: the queue itself (its test of shares passes), evictions (lower ranks kept their room in the queue). Change: reserved slots bound what lower ranks hold together. The measurement takes recovery from the share of arriving calls served, since the goodput itself varies with the arrivals.

--- a/crates/sequoiagw-bench/src/commands/faults.rs
+++ b/crates/sequoiagw-bench/src/commands/faults.rs
@@ -62,6 +62,17 @@
     BrokenBackends,
 }
 
+impl FaultKind {
+    /// How long the fault lasts, in seconds.
+    fn seconds(self) -> u64 {
+        match self {
+            // Past the holders' lease of 10 s.
+            Self::Pause => FAULT_S * 2,
+            _ => FAULT_S,
+        }
+    }
+}
+
 const FAULTS: &[FaultKind] = &[
     FaultKind::Herd,
     FaultKind::SilentLinks,
@@ -104,7 +115,7 @@
 impl FaultTotals {
     fn add(&mut self, fault: FaultKind, tally: &LoadTally, doubled: usize) {
         let total = tally.total();
-        let recovery_s = recovery_seconds(tally);
+        let recovery_s = recovery_seconds(fault, tally);
         let mut kinds: BTreeMap<&str, u64> = BTreeMap::new();
         for (kind, count) in &total.refused {
             kinds.insert(kind.rule().name, *count);
@@ -142,15 +153,17 @@
     }
 }
 
-/// Seconds after the fault's end until the goodput stays at 95% of the earlier one.
-fn recovery_seconds(tally: &LoadTally) -> u64 {
-    let served = |second: u64| tally.served_by_second.get(&second).copied().unwrap_or(0);
-    let before: u64 = (1..BEFORE_S).map(served).sum::<u64>() / (BEFORE_S - 1);
-    let wanted = before * 95 / 100;
-    let end = BEFORE_S + FAULT_S;
-    // Two seconds are taken together, so that the arrivals' randomness doesn't count.
-    let low = |second: &u64| (served(*second) + served(second + 1)) / 2 < wanted;
-    let last_low = (end..end + AFTER_S - 2).filter(low).max();
+/// Seconds after the fault's end until the share of arriving calls that are served stays
+/// at 95% of the earlier share.
+fn recovery_seconds(fault: FaultKind, tally: &LoadTally) -> u64 {
+    let share = |second: u64| {
+        let tally = tally.seconds.get(&second).copied().unwrap_or_default();
+        tally.served as f64 / tally.sent.max(1) as f64
+    };
+    let before = (0..BEFORE_S).map(share).sum::<f64>() / BEFORE_S as f64;
+    let end = BEFORE_S + fault.seconds();
+    let low = |second: &u64| share(*second) < before * 0.95;
+    let last_low = (end..end + AFTER_S).filter(low).max();
     last_low.map_or(0, |second| second + 1 - end)
 }
 
@@ -172,7 +185,7 @@
     let entries = entries_of(&fleet);
     let driver = LoadDriver::new(entries.clone(), fleet.log.clone(), seed);
     let streams = rank_streams(&services, RATES, true);
-    let time = Duration::from_secs(BEFORE_S + FAULT_S + AFTER_S);
+    let time = Duration::from_secs(BEFORE_S + fault.seconds() + AFTER_S);
     let disturbed = disturb(fault, &mut fleet, &entries);
     let (tally, ()) = tokio::join!(driver.drive(&streams, time), disturbed);
     let doubled = fleet.log.doubled();
@@ -182,7 +195,7 @@
 
 async fn disturb(fault: FaultKind, fleet: &mut SmallFleet, entries: &EntryList) {
     tokio::time::sleep(Duration::from_secs(BEFORE_S)).await;
-    let fault_time = Duration::from_secs(FAULT_S);
+    let fault_time = Duration::from_secs(fault.seconds());
     match fault {
         FaultKind::Herd => {
             for index in (0..NODE_COUNT).step_by(2) {
@@ -215,7 +228,7 @@
             for index in [1, 4] {
                 fleet.pause_node(index, true);
             }
-            tokio::time::sleep(fault_time * 2).await;
+            tokio::time::sleep(fault_time).await;
             for index in [1, 4] {
                 fleet.pause_node(index, false);
             }
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -94,6 +94,8 @@
     queue: RankQueue,
     calls: HashMap<CallId, OwnerCall>,
     runs: HashMap<RunId, CallId>,
+    /// Runs of calls below the most urgent level.
+    lower_runs: u32,
     run_deadlines: BTreeSet<(Instant, RunId)>,
     claim_deadlines: BTreeSet<(Instant, CallId)>,
     memory: BTreeSet<(Instant, CallId)>,
@@ -119,6 +121,7 @@
             queue,
             calls: HashMap::new(),
             runs: HashMap::new(),
+            lower_runs: 0,
             run_deadlines: BTreeSet::new(),
             claim_deadlines: BTreeSet::new(),
             memory: BTreeSet::new(),
@@ -322,6 +325,10 @@
             return;
         };
         self.run_deadlines.retain(|(_, other)| *other != run);
+        let rank = self.calls.get(&id).map_or(0, |call| call.dispatch.rank);
+        if u32::from(self.setup.most_urgent.get()) < rank {
+            self.lower_runs = self.lower_runs.saturating_sub(1);
+        }
         match result {
             BackendResult::Answered { .. } => self.limiter.finish(),
             BackendResult::Shed => self.limiter.shed(now),
@@ -464,15 +471,16 @@
     }
 
     /// Least urgent level that may take a slot now, if any slot is free.
+    ///
+    /// Lower levels together leave the reserved slots to the most urgent one. Whatever the
+    /// most urgent one holds doesn't count against them: a flood of it must leave them
+    /// their shares.
     fn runnable_level(&self) -> Option<RankLevel> {
-        let free = self.limiter.free();
-        let reserved = self
-            .setup
-            .reserved_slots
-            .min(self.limiter.allowed() / RESERVED_DIVISOR);
-        if free == 0 {
+        let allowed = self.limiter.allowed();
+        let reserved = self.setup.reserved_slots.min(allowed / RESERVED_DIVISOR);
+        if self.limiter.free() == 0 {
             None
-        } else if free <= reserved {
+        } else if self.lower_runs + reserved >= allowed {
             Some(self.setup.most_urgent)
         } else {
             Some(RankLevel::LEAST_URGENT)
@@ -511,6 +519,9 @@
         let deadline = call.deadline.max(now) + grace;
         let mut dispatch = call.dispatch.clone();
         dispatch.remaining_ms = (call.deadline.saturating_duration_since(now)).as_millis() as u32;
+        if u32::from(self.setup.most_urgent.get()) < dispatch.rank {
+            self.lower_runs += 1;
+        }
         self.limiter.start();
         self.runs.insert(run, id);
         self.run_deadlines.insert((deadline, run));
--- a/crates/sequoiagw-standin/src/lib.rs
+++ b/crates/sequoiagw-standin/src/lib.rs
@@ -23,6 +23,7 @@
 pub use load_driver::LoadDriver;
 pub use load_driver::LoadStream;
 pub use load_tally::LoadTally;
+pub use load_tally::SecondTally;
 pub use load_tally::StreamTally;
 pub use memory_backend::MemoryBackend;
 pub use memory_links::MemoryLinks;
--- a/crates/sequoiagw-standin/src/load_driver.rs
+++ b/crates/sequoiagw-standin/src/load_driver.rs
@@ -132,7 +132,7 @@
     async fn call(self: Rc<Self>, plan: CallPlan) {
         let started = Instant::now();
         let mut rng = ChaCha8Rng::seed_from_u64(plan.seed);
-        self.tally.borrow_mut().stream(&plan.stream.name).sent += 1;
+        self.note_sent(&plan, started);
         let mut last = None;
         let mut all_denied = true;
         let tries = if plan.stream.keyed { CALLER_TRIES } else { 1 };
@@ -205,10 +205,27 @@
         timeout(patience, entry.call(spec, request)).await.ok()
     }
 
+    fn second_of(&self, time: Instant) -> u64 {
+        (time - self.started).as_secs()
+    }
+
+    fn note_sent(&self, plan: &CallPlan, started: Instant) {
+        let mut tally = self.tally.borrow_mut();
+        tally
+            .seconds
+            .entry(self.second_of(started))
+            .or_default()
+            .sent += 1;
+        tally.stream(&plan.stream.name).sent += 1;
+    }
+
     fn note_served(&self, plan: &CallPlan, started: Instant, whole: bool) {
         let mut tally = self.tally.borrow_mut();
-        let second = (Instant::now() - self.started).as_secs();
-        *tally.served_by_second.entry(second).or_default() += 1;
+        tally
+            .seconds
+            .entry(self.second_of(started))
+            .or_default()
+            .served += 1;
         let stream = tally.stream(&plan.stream.name);
         stream.note_served(started.elapsed());
         if !whole || self.log.count(&plan.id) == 0 {
--- a/crates/sequoiagw-standin/src/load_tally.rs
+++ b/crates/sequoiagw-standin/src/load_tally.rs
@@ -92,8 +92,17 @@
 pub struct LoadTally {
     /// Streams.
     pub streams: BTreeMap<String, StreamTally>,
-    /// Calls served in each whole second since the start.
-    pub served_by_second: BTreeMap<u64, u64>,
+    /// Calls that arrived in each whole second since the start: sent and served.
+    pub seconds: BTreeMap<u64, SecondTally>,
+}
+
+/// Calls that arrived in one second.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct SecondTally {
+    /// Calls sent.
+    pub sent: u64,
+    /// Of these, calls served.
+    pub served: u64,
 }
 
 impl LoadTally {
