--- a/crates/sequoiagw-policy/src/rank_queue.rs
+++ b/crates/sequoiagw-policy/src/rank_queue.rs
@@ -10,6 +10,9 @@
 
 use crate::CallId;
 
+/// Calls that a level may owe at most.
+const DEBT_LIMIT: f64 = 1.0;
+
 /// A call that waits.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct QueuedCall {
@@ -100,8 +103,9 @@
 /// Bounded queue of a target.
 ///
 /// The most urgent level that waits goes first, but for the shares: with each call taken,
-/// every other waiting level earns its share of one call, and is served when it has
-/// earned a whole one. A level that has nothing waiting earns nothing.
+/// every waiting level earns its share of one call and pays one when it is served, and
+/// goes first when it has earned a whole one. A level that has nothing waiting earns
+/// nothing, and one that is served anyway owes, so that it takes nothing from the urgent.
 #[derive(Debug)]
 pub struct RankQueue {
     levels: [LevelQueue; RankLevel::COUNT],
@@ -250,16 +254,14 @@
         (level == call.level && fairer).then_some(victim)
     }
 
+    /// Chooses the level to serve and keeps the accounts of all that wait.
     fn next_level(&mut self, least_urgent: RankLevel) -> Option<usize> {
         let most = least_urgent.index();
         let urgent = (0..=most).find(|level| self.levels[*level].length > 0)?;
         let mut chosen = urgent;
-        for level in 0..RankLevel::COUNT {
+        for level in urgent..RankLevel::COUNT {
             if self.levels[level].length == 0 {
-                self.earned[level] = 0.0;
-                continue;
-            }
-            if level == urgent || level > most {
+                self.earned[level] = self.earned[level].min(0.0);
                 continue;
             }
             self.earned[level] += self.shares[level];
@@ -268,13 +270,11 @@
             } else {
                 self.earned[chosen]
             };
-            if self.earned[level] >= best {
+            if level != urgent && level <= most && self.earned[level] >= best {
                 chosen = level;
             }
         }
-        if chosen != urgent {
-            self.earned[chosen] -= 1.0;
-        }
+        self.earned[chosen] = (self.earned[chosen] - 1.0).max(-DEBT_LIMIT);
         Some(chosen)
     }
 }
--- /dev/null
+++ b/crates/sequoiagw-policy/tests/target_board.rs
@@ -0,0 +1,131 @@
+//! The choice of a target.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sequoiagw_policy::PickRequest;
+use sequoiagw_policy::TargetBoard;
+use sequoiagw_policy::TargetInfo;
+use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::LoadReport;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::RankLevel;
+use tokio::time::Instant;
+
+fn board_of(targets: &[(u64, &str)]) -> TargetBoard {
+    let mut board = TargetBoard::new("north");
+    let infos = targets
+        .iter()
+        .map(|(node, centre)| TargetInfo {
+            node: NodeId::from(*node),
+            boot: 1,
+            data_centre: (*centre).to_owned(),
+            slots: 10,
+        })
+        .collect();
+    board.set_targets(BTreeMap::from([("press".to_owned(), infos)]));
+    board
+}
+
+fn request(level: u8) -> PickRequest<'static> {
+    PickRequest {
+        service: "press",
+        level: RankLevel::new(level),
+        tried: &[],
+        spill_load: 1.5,
+        refuse_early: true,
+    }
+}
+
+fn report(running: u32, waiting: u32, open_levels: u32) -> LoadReport {
+    LoadReport {
+        running,
+        slots: 10,
+        waiting,
+        open_levels,
+    }
+}
+
+fn picks(board: &TargetBoard, now: Instant) -> BTreeMap<u64, u32> {
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut counts = BTreeMap::new();
+    for _ in 0..1_000 {
+        let target = board.pick(&request(0), &mut rng, now).expect("target");
+        *counts.entry(target.node.get()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn the_own_data_centre_goes_first() {
+    let board = board_of(&[(1, "north"), (2, "north"), (3, "south")]);
+    let counts = picks(&board, Instant::now());
+    assert!(!counts.contains_key(&3), "{counts:?}");
+}
+
+#[test]
+fn another_data_centre_helps_only_when_it_is_worth_the_link() {
+    let mut board = board_of(&[(1, "north"), (3, "south")]);
+    let now = Instant::now();
+    board.reported(NodeId::from(1), report(10, 3, 8), now);
+    assert_eq!(picks(&board, now).keys().copied().collect::<Vec<_>>(), [1]);
+    board.reported(NodeId::from(1), report(10, 30, 8), now);
+    assert_eq!(picks(&board, now).keys().copied().collect::<Vec<_>>(), [3]);
+}
+
+#[test]
+fn a_report_fades_with_its_age() {
+    let mut board = board_of(&[(1, "north"), (3, "south")]);
+    let now = Instant::now();
+    board.reported(NodeId::from(1), report(10, 30, 8), now);
+    let later = now + Duration::from_secs(2);
+    assert_eq!(
+        picks(&board, later).keys().copied().collect::<Vec<_>>(),
+        [1]
+    );
+}
+
+#[test]
+fn a_full_queue_refuses_early_only_the_levels_it_has_no_room_for() {
+    let mut board = board_of(&[(1, "north")]);
+    let now = Instant::now();
+    board.reported(NodeId::from(1), report(10, 64, 6), now);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let refused = board.pick(&request(6), &mut rng, now);
+    assert_eq!(refused.expect_err("refused"), ErrorKind::FleetOverloaded);
+    assert!(board.pick(&request(0), &mut rng, now).is_ok());
+    let later = now + Duration::from_millis(60);
+    assert!(
+        board.pick(&request(6), &mut rng, later).is_ok(),
+        "an old report refuses nothing"
+    );
+}
+
+#[test]
+fn ejection_never_empties_a_service() {
+    bolero::check!()
+        .with_type::<Vec<u8>>()
+        .for_each(|failures| {
+            let targets: Vec<(u64, &str)> = (0..5).map(|node| (node, "north")).collect();
+            let mut board = board_of(&targets);
+            let now = Instant::now();
+            for node in failures {
+                board.failed(NodeId::from(u64::from(node % 5)), now);
+            }
+            let mut rng = ChaCha8Rng::seed_from_u64(1);
+            assert!(board.pick(&request(0), &mut rng, now).is_ok());
+        });
+}
+
+#[test]
+fn an_ejected_target_is_left_out_and_returns() {
+    let mut board = board_of(&[(1, "north"), (2, "north"), (3, "north")]);
+    let now = Instant::now();
+    for _ in 0..3 {
+        board.failed(NodeId::from(1), now);
+    }
+    assert!(!picks(&board, now).contains_key(&1));
+    assert!(picks(&board, now + Duration::from_secs(3)).contains_key(&1));
+}
