Stop a node that cannot join from asking the store without end; prove promises in whole fleets

Cause: each reading of the entry points brought the next try to join forward to now, and each try reads the entry points: with a store that answers at once the loop never ends (two new tests hung; the stack showed try_join under on_tick). Ruled out: the watch loop of the stand-in (it waits), the writer's retries (bounded at 4). Change: only an entry point that wasn't known is tried at once. Before: no_node_goes_back... and racing_operators... hung. After: both pass; a node alone asks at most 20 times a minute. Also: a call barred after a lost dispatch is tried at the same target again, whose link has just proved to work: with every link silent, calls ended at their deadline before and are served after. Tests: 15 promises of configurations, 6 of calls in fleets on the paused clock, by seed.

--- a/crates/sequoiagw-membership/src/membership_machine.rs
+++ b/crates/sequoiagw-membership/src/membership_machine.rs
@@ -167,14 +167,18 @@
         self.versions = versions;
     }
 
-    /// Adds entry points, as read from the platform's store.
+    /// Adds entry points, as read from the platform's store. Only ones that weren't known
+    /// are tried at once; otherwise a node that can't join would ask the store without end.
     pub fn add_seeds(&mut self, seeds: &[NodeAddress], now: Instant) {
+        let known = self.seeds.len();
         for seed in seeds {
             if !self.seeds.contains(seed) {
                 self.seeds.push(*seed);
             }
         }
-        self.next_join = self.next_join.min(now);
+        if self.seeds.len() > known {
+            self.next_join = self.next_join.min(now);
+        }
     }
 
     /// Changes the own record and spreads it.
--- a/crates/sequoiagw-membership/tests/membership_machine.rs
+++ b/crates/sequoiagw-membership/tests/membership_machine.rs
@@ -290,3 +290,23 @@
         "{small} to {large} messages a second at each node"
     );
 }
+
+#[test]
+fn a_node_that_cannot_join_asks_the_store_ever_less_often() {
+    let mut world = MemberWorld::new(1, 1, 0.0, 7);
+    let mut asked = 0;
+    for _ in 0..1_200 {
+        world.now += Duration::from_millis(50);
+        let now = world.now;
+        let node = world.nodes[0].as_mut().expect("running");
+        node.on_tick(now);
+        for action in node.take_actions() {
+            if matches!(action, MembershipAction::EntryPointsWanted) {
+                asked += 1;
+                node.add_seeds(&[address(0), address(1)], now);
+                node.on_tick(now);
+            }
+        }
+    }
+    assert!(asked <= 20, "asked {asked} times in 60 s");
+}
--- /dev/null
+++ b/crates/sequoiagw-node/tests/call_promises.rs
@@ -0,0 +1,177 @@
+//! What must always hold of calls, provoked by faults in a whole fleet.
+
+mod support;
+
+use std::time::Duration;
+
+use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::RanState;
+use sequoiagw_standin::BackendPlan;
+use sequoiagw_standin::FleetPlan;
+
+use crate::support::call;
+use crate::support::on_paused_clock;
+use crate::support::ready_fleet;
+use crate::support::within;
+
+fn slow_plan(service_ms: u64) -> FleetPlan {
+    FleetPlan {
+        nodes: 8,
+        backend: BackendPlan {
+            service_time: Duration::from_millis(service_ms),
+            ..BackendPlan::default()
+        },
+        ..FleetPlan::default()
+    }
+}
+
+#[test]
+fn a_silent_link_is_found_and_replaced_and_the_call_is_answered() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(slow_plan(20)).await;
+        fleet.network.silence_share(1.0);
+        for index in 0..8 {
+            let handle = &fleet.nodes[index].handle;
+            let reply = call(handle, "change-die", &format!("silent-{index}"), "").await;
+            assert!(reply.outcome.is_ok(), "{:?}", reply.outcome);
+        }
+        assert!(fleet.counters()["link.reset"] > 0);
+        assert!(fleet.log.doubled().is_empty());
+    });
+}
+
+#[test]
+fn an_action_whose_owner_dies_is_unknown_and_its_key_never_runs_again() {
+    on_paused_clock(async {
+        let mut fleet = ready_fleet(slow_plan(800)).await;
+        // A node of the other service, so that the entry outlives the owner.
+        let entry = fleet.nodes[2].handle.clone();
+        let first =
+            tokio::task::spawn_local(
+                async move { call(&entry, "change-die", "try-1", "die-7").await },
+            );
+        tokio::time::sleep(Duration::from_millis(300)).await;
+        assert_eq!(fleet.log.count("die-7"), 1, "it runs somewhere");
+        let owners: Vec<usize> = (0..8)
+            .filter(|index| fleet.nodes[*index].handle.status().load[0] > 0)
+            .collect();
+        for owner in &owners {
+            fleet.kill_node(*owner);
+        }
+        let reply = within(10, "a reply", first).await.expect("task");
+        if !owners.contains(&0) {
+            let kind = reply.outcome.expect_err("the owner died");
+            assert_eq!(kind.rule().ran, RanState::Unknown, "{kind}");
+        }
+        let other = (0..8)
+            .find(|index| !owners.contains(index))
+            .expect("one is left");
+        let retry = call(&fleet.nodes[other].handle, "change-die", "try-2", "die-7").await;
+        assert_eq!(retry.outcome.expect_err("unknown"), ErrorKind::KeyUnknown);
+        assert_eq!(fleet.log.count("die-7"), 1);
+    });
+}
+
+#[test]
+fn in_a_store_outage_keyed_calls_are_refused_as_not_run_and_others_served() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(slow_plan(20)).await;
+        fleet.store.set_faults(|faults| faults.down = true);
+        let keyed = call(&fleet.nodes[0].handle, "pay", "try", "order-9").await;
+        assert_eq!(
+            keyed.outcome.expect_err("refused"),
+            ErrorKind::ClaimUnavailable
+        );
+        assert_eq!(fleet.log.count("order-9"), 0);
+        let plain = call(&fleet.nodes[0].handle, "pay", "plain", "").await;
+        assert!(plain.outcome.is_ok());
+        fleet.store.set_faults(|faults| faults.down = false);
+        tokio::time::sleep(Duration::from_secs(20)).await;
+        let again = call(&fleet.nodes[1].handle, "pay", "again", "order-9").await;
+        assert!(again.outcome.is_ok());
+        assert_eq!(fleet.log.count("order-9"), 1);
+    });
+}
+
+#[test]
+fn a_claim_whose_answer_is_lost_still_runs_its_action_once() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(slow_plan(5)).await;
+        fleet.store.set_faults(|faults| faults.lost_answers = 0.5);
+        for number in 0..60 {
+            let key = format!("order-{number}");
+            for attempt in 0..3 {
+                let handle = &fleet.nodes[(number + attempt * 3) % 8].handle;
+                let _ = call(handle, "pay", &format!("{key}-{attempt}"), &key).await;
+            }
+            assert!(
+                fleet.log.count(&key) <= 1,
+                "{key} ran {} times",
+                fleet.log.count(&key)
+            );
+        }
+    });
+}
+
+#[test]
+fn a_caller_that_goes_away_takes_its_waiting_call_with_it() {
+    on_paused_clock(async {
+        let plan = FleetPlan {
+            nodes: 2,
+            services: vec!["press".to_owned()],
+            backend: BackendPlan {
+                slots: 1,
+                service_time: Duration::from_millis(500),
+                ..BackendPlan::default()
+            },
+            ..FleetPlan::default()
+        };
+        let fleet = ready_fleet(plan).await;
+        let mut tasks = Vec::new();
+        for number in 0..6 {
+            let handle = fleet.nodes[0].handle.clone();
+            let id = format!("gone-{number}");
+            tasks.push(tokio::task::spawn_local(async move {
+                call(&handle, "change-die", &id, "").await
+            }));
+        }
+        tokio::time::sleep(Duration::from_millis(100)).await;
+        tasks.iter().for_each(tokio::task::JoinHandle::abort);
+        tokio::time::sleep(Duration::from_secs(5)).await;
+        let runs = fleet.log.total();
+        assert!(runs <= 2, "{runs} calls ran for callers that had gone");
+    });
+}
+
+#[test]
+fn a_graceful_leave_cuts_no_request_also_when_cut_off_from_some_peers() {
+    on_paused_clock(async {
+        let mut fleet = ready_fleet(slow_plan(200)).await;
+        let mut calls = Vec::new();
+        for number in 0..40 {
+            let handle = fleet.nodes[number % 7].handle.clone();
+            let id = format!("leave-{number}");
+            calls.push(tokio::task::spawn_local(async move {
+                call(&handle, "pay", &id, "").await
+            }));
+        }
+        tokio::time::sleep(Duration::from_millis(50)).await;
+        let leaver = fleet.nodes[7].address;
+        for other in [0, 2, 4] {
+            fleet.network.silence(leaver, fleet.nodes[other].address);
+        }
+        within(10, "it leaves", fleet.drain_node(7)).await;
+        let started = fleet.nodes[7].model.started_runs();
+        for number in 0..40 {
+            let handle = fleet.nodes[number % 7].handle.clone();
+            let reply = call(&handle, "pay", &format!("after-{number}"), "").await;
+            assert!(reply.outcome.is_ok(), "{:?}", reply.outcome);
+        }
+        for task in calls {
+            let reply = task.await.expect("task");
+            assert!(reply.outcome.is_ok(), "{:?}", reply.outcome);
+        }
+        assert_eq!(fleet.nodes[7].model.started_runs(), started);
+        assert!(fleet.log.doubled().is_empty());
+    });
+}
--- /dev/null
+++ b/crates/sequoiagw-node/tests/config_promises.rs
@@ -0,0 +1,549 @@
+//! What must always hold of configurations, provoked by faults.
+
+mod support;
+
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sequoiagw_config::AcceptedConfig;
+use sequoiagw_distribution::ConfigChange;
+use sequoiagw_distribution::ConfigWriter;
+use sequoiagw_distribution::WriteError;
+use sequoiagw_standin::FleetPlan;
+use sequoiagw_standin::NetworkPlan;
+use sequoiagw_standin::SmallFleet;
+use sequoiagw_store::PlatformStore;
+use sequoiagw_store::PutEntry;
+use sequoiagw_store::StoreReply;
+use sequoiagw_store::StoreRequest;
+
+use crate::support::call;
+use crate::support::mesh_with_timeout;
+use crate::support::on_paused_clock;
+use crate::support::ready_fleet;
+use crate::support::within;
+
+fn plan(nodes: usize, seed: u64) -> FleetPlan {
+    FleetPlan {
+        nodes,
+        seed,
+        ..FleetPlan::default()
+    }
+}
+
+async fn pause(seconds: u64) {
+    tokio::time::sleep(Duration::from_secs(seconds)).await;
+}
+
+fn change(seconds: u64, base: u64, change_id: &str) -> ConfigChange {
+    ConfigChange {
+        config: mesh_with_timeout(seconds),
+        base,
+        change_id: change_id.to_owned(),
+        author: change_id.to_owned(),
+        message: "test".to_owned(),
+        now_ms: 1,
+    }
+}
+
+/// Highest version seen at each node, whatever process ran there.
+#[derive(Default)]
+struct VersionWatch {
+    highest: BTreeMap<String, u64>,
+}
+
+impl VersionWatch {
+    fn look(&mut self, fleet: &SmallFleet) {
+        for (name, version) in fleet.versions() {
+            let highest = self.highest.entry(name.clone()).or_default();
+            // A fresh process without a version in force yet acts on none.
+            assert!(
+                version == 0 || version >= *highest,
+                "{name} went back to {version}"
+            );
+            *highest = version.max(*highest);
+        }
+    }
+
+    async fn look_for(&mut self, fleet: &SmallFleet, time: Duration) {
+        let end = tokio::time::Instant::now() + time;
+        while tokio::time::Instant::now() < end {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+            self.look(fleet);
+        }
+    }
+}
+
+/// Plays random changes and faults and checks that no node goes back and all catch up.
+async fn play_changes(seed: u64) {
+    let mut rng = ChaCha8Rng::seed_from_u64(seed);
+    let mut fleet = ready_fleet(plan(12, seed)).await;
+    let mut watch = VersionWatch::default();
+    let mut last = 1;
+    for step in 0..12 {
+        let index = rng.random_range(0..12);
+        match rng.random_range(0..7) {
+            0 => {
+                for index in (0..12).filter(|index| index % 3 == step % 3) {
+                    fleet.kill_node(index);
+                    fleet.start_node(index);
+                }
+            }
+            1 => {
+                fleet.kill_node(index);
+                fleet.start_node(index);
+            }
+            2 => fleet.store.set_faults(|faults| faults.down = !faults.down),
+            3 => fleet.cut_centre("dc1", rng.random()),
+            4 => {
+                let loss = rng.random_range(0.0..0.1);
+                fleet.network.set_plan(NetworkPlan {
+                    loss,
+                    ..NetworkPlan::default()
+                });
+            }
+            5 => fleet.pause_node(index, rng.random()),
+            _ => fleet
+                .store
+                .set_faults(|faults| faults.silent_watches = !faults.silent_watches),
+        }
+        let seconds = 2 + (step as u64 + seed) % 50;
+        if let Ok(accepted) = fleet
+            .accept(mesh_with_timeout(seconds), &format!("s{step}"))
+            .await
+        {
+            last = accepted.version;
+        }
+        let time = Duration::from_millis(rng.random_range(100..6_000));
+        watch.look_for(&fleet, time).await;
+    }
+    fleet
+        .store
+        .set_faults(|faults| *faults = sequoiagw_standin::StoreFaults::default());
+    fleet.cut_centre("dc1", false);
+    fleet.network.set_plan(NetworkPlan::default());
+    (0..12).for_each(|index| fleet.pause_node(index, false));
+    watch.look_for(&fleet, Duration::from_secs(60)).await;
+    for (name, version) in fleet.versions() {
+        assert_eq!(version, last, "{name} is behind at the end, seed {seed}");
+    }
+}
+
+#[test]
+fn no_node_goes_back_and_every_node_catches_up_whatever_fails() {
+    for seed in 0..12 {
+        on_paused_clock(play_changes(seed));
+    }
+}
+
+#[test]
+fn a_fresh_process_learns_from_its_peers_what_its_host_acted_on() {
+    on_paused_clock(async {
+        let mut fleet = ready_fleet(plan(8, 1)).await;
+        let accepted = fleet
+            .accept(mesh_with_timeout(3), "second")
+            .await
+            .expect("accepted");
+        within(
+            7,
+            "in force everywhere",
+            fleet.wait_version(accepted.version),
+        )
+        .await;
+        fleet.store.set_faults(|faults| faults.down = true);
+        fleet.kill_node(2);
+        fleet.start_node(2);
+        within(
+            10,
+            "ready through peers",
+            fleet.nodes[2].handle.wait_ready(),
+        )
+        .await;
+        assert_eq!(fleet.versions()["node-2"], accepted.version);
+    });
+}
+
+#[test]
+fn a_fresh_data_centre_without_store_and_peers_is_not_ready() {
+    on_paused_clock(async {
+        let mut fleet = ready_fleet(plan(8, 1)).await;
+        fleet.cut_centre("dc1", true);
+        for index in (0..8).filter(|index| index % 2 == 1) {
+            fleet.kill_node(index);
+            fleet.start_node(index);
+        }
+        pause(30).await;
+        for index in (0..8).filter(|index| index % 2 == 1) {
+            assert!(!fleet.nodes[index].handle.status().ready, "node-{index}");
+        }
+        fleet.cut_centre("dc1", false);
+        within(30, "ready after the cut", fleet.wait_version(1)).await;
+    });
+}
+
+#[test]
+fn a_bad_version_is_refused_whole_and_seen_by_operators() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(plan(6, 1)).await;
+        let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
+        let read = writer.read().await.expect("read");
+        let config = mesh_with_timeout(9);
+        let next = AcceptedConfig::succeed(read.accepted.as_ref(), &config);
+        let mut damaged = next.signed("bad", "op", "damaged on its way", 1);
+        damaged.checksum = "0".repeat(64);
+        put_version(&fleet, &damaged).await;
+        pause(10).await;
+        assert!(fleet.versions().values().all(|version| *version == 1));
+        let refusing = fleet
+            .counters()
+            .get("refused.config_checksum")
+            .copied()
+            .unwrap_or(0);
+        assert!(refusing > 0, "{:?}", fleet.counters());
+        let reply = call(&fleet.nodes[0].handle, "pay", "still-served", "").await;
+        assert!(reply.outcome.is_ok());
+    });
+}
+
+/// Writes a version past all checks, as a defect or a stray hand would.
+async fn put_version(fleet: &SmallFleet, accepted: &AcceptedConfig) {
+    let put = |key: &str, value: String| PutEntry {
+        key: key.to_owned(),
+        value,
+        lease: None,
+    };
+    let head = format!(
+        "{{\"version\":{},\"change_id\":\"{}\"}}",
+        accepted.version, accepted.change_id
+    );
+    let history = format!("sequoiagw/config/history/{:012}", accepted.version);
+    let request = StoreRequest::Commit {
+        conditions: Vec::new(),
+        puts: vec![
+            put(
+                "sequoiagw/config/current",
+                accepted.to_json().expect("fits"),
+            ),
+            put(&history, accepted.history_entry().to_json().expect("fits")),
+            put("sequoiagw/config/head", head),
+        ],
+        deletes: Vec::new(),
+    };
+    let reply = fleet.store.client().call(request).await;
+    assert!(matches!(
+        reply,
+        Ok(StoreReply::Committed { applied: true, .. })
+    ));
+}
+
+#[test]
+fn a_version_with_an_open_reference_is_refused_by_every_node() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(plan(6, 1)).await;
+        let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
+        let read = writer.read().await.expect("read");
+        let mut config = mesh_with_timeout(9);
+        config.services.remove("press");
+        let next = AcceptedConfig::succeed(read.accepted.as_ref(), &config);
+        put_version(
+            &fleet,
+            &next.signed("open", "op", "a route points at nothing", 1),
+        )
+        .await;
+        pause(10).await;
+        assert!(fleet.versions().values().all(|version| *version == 1));
+        let views = fleet.nodes[0].handle.status().members;
+        assert!(
+            views.iter().any(|view| view.refused_version == Some(2)),
+            "{views:?}"
+        );
+    });
+}
+
+#[test]
+fn operators_who_race_get_a_conflict_that_names_the_other_change() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(plan(4, 1)).await;
+        let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
+        writer.apply(&change(3, 1, "anna")).await.expect("first");
+        let error = writer
+            .apply(&change(4, 1, "berta"))
+            .await
+            .expect_err("conflict");
+        let WriteError::Conflict {
+            version: 2,
+            author,
+            paths,
+            ..
+        } = error
+        else {
+            panic!("{error}");
+        };
+        assert_eq!(
+            (author.as_str(), paths.as_str()),
+            ("anna", "defaults.timeout")
+        );
+    });
+}
+
+#[test]
+fn operators_who_touch_different_settings_are_both_accepted() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(plan(4, 1)).await;
+        let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
+        writer.apply(&change(3, 1, "anna")).await.expect("first");
+        let mut other = change(2, 1, "berta");
+        other
+            .config
+            .services
+            .insert("oven".to_owned(), Default::default());
+        let accepted = writer.apply(&other).await.expect("rebased");
+        let config = accepted.tree.to_config().expect("valid");
+        assert_eq!(accepted.version, 3);
+        assert!(config.services.contains_key("oven"));
+        assert_eq!(config.defaults, mesh_with_timeout(3).defaults);
+        within(7, "in force everywhere", fleet.wait_version(3)).await;
+    });
+}
+
+#[test]
+fn a_write_whose_answer_is_lost_is_found_again_and_never_doubled() {
+    for seed in 0..10 {
+        on_paused_clock(async move {
+            let fleet = ready_fleet(plan(4, seed)).await;
+            fleet.store.set_faults(|faults| faults.lost_answers = 0.6);
+            let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
+            for number in 0..8 {
+                let base = writer.read().await.expect("read").version();
+                let made = change(3 + number, base, &format!("change-{number}"));
+                match writer.apply(&made).await {
+                    Ok(accepted) => assert_eq!(accepted.version, base + 1),
+                    Err(WriteError::Unconfirmed { .. }) => {}
+                    Err(error) => panic!("{error}"),
+                }
+            }
+            let history = writer.history().await.expect("history");
+            let mut ids: Vec<&str> = history
+                .iter()
+                .map(|entry| entry.change_id.as_str())
+                .collect();
+            let versions: Vec<u64> = history.iter().map(|entry| entry.version).collect();
+            assert_eq!(versions, (1..=versions.len() as u64).collect::<Vec<_>>());
+            ids.sort_unstable();
+            ids.dedup();
+            assert_eq!(ids.len(), history.len(), "a change was accepted twice");
+        });
+    }
+}
+
+#[test]
+fn racing_operators_on_a_bad_store_make_one_chain() {
+    for seed in 0..10 {
+        on_paused_clock(async move {
+            let fleet = ready_fleet(plan(2, seed)).await;
+            fleet.store.set_faults(|faults| {
+                faults.lost_answers = 0.3;
+                faults.delay = Duration::from_millis(20);
+            });
+            let mut tasks = Vec::new();
+            for operator in 0..5u64 {
+                let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
+                tasks.push(tokio::task::spawn_local(async move {
+                    let mut made = change(2, 1, &format!("operator-{operator}"));
+                    let service = format!("service-{operator}");
+                    made.config.services.insert(service, Default::default());
+                    writer.apply(&made).await
+                }));
+            }
+            let mut accepted = 0;
+            for task in tasks {
+                if task.await.expect("task").is_ok() {
+                    accepted += 1;
+                }
+            }
+            fleet.store.set_faults(|faults| faults.lost_answers = 0.0);
+            let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
+            let read = writer.read().await.expect("read");
+            let config = read
+                .accepted
+                .expect("accepted")
+                .tree
+                .to_config()
+                .expect("valid");
+            let added = config
+                .services
+                .keys()
+                .filter(|name| name.starts_with("service-"))
+                .count();
+            assert!(
+                added >= accepted,
+                "{accepted} accepted, {added} in the newest version"
+            );
+        });
+    }
+}
+
+#[test]
+fn a_cut_off_data_centre_goes_on_and_catches_up_by_itself() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(plan(12, 1)).await;
+        fleet.cut_centre("dc1", true);
+        let accepted = fleet
+            .accept(mesh_with_timeout(4), "during the cut")
+            .await
+            .expect("accepted");
+        pause(20).await;
+        for node in &fleet.nodes {
+            let expected = if node.data_centre == "dc1" {
+                1
+            } else {
+                accepted.version
+            };
+            assert_eq!(fleet.versions()[&node.name], expected, "{}", node.name);
+            let reply = call(&node.handle, "pay", &format!("cut-{}", node.name), "").await;
+            assert!(reply.outcome.is_ok(), "{} serves from its own", node.name);
+        }
+        fleet.cut_centre("dc1", false);
+        within(30, "caught up", fleet.wait_version(accepted.version)).await;
+    });
+}
+
+#[test]
+fn a_store_that_only_one_side_reaches_still_feeds_both_over_the_links() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(plan(12, 1)).await;
+        for node in fleet.nodes.iter().filter(|node| node.data_centre == "dc1") {
+            node.store.set_cut(true);
+        }
+        pause(15).await;
+        let accepted = fleet
+            .accept(mesh_with_timeout(4), "one side")
+            .await
+            .expect("accepted");
+        within(
+            7,
+            "in force on both sides",
+            fleet.wait_version(accepted.version),
+        )
+        .await;
+    });
+}
+
+#[test]
+fn in_a_store_outage_nodes_serve_and_join_and_changes_are_refused() {
+    on_paused_clock(async {
+        let mut fleet = ready_fleet(plan(8, 1)).await;
+        fleet.store.set_faults(|faults| faults.down = true);
+        pause(120).await;
+        let reply = call(&fleet.nodes[0].handle, "pay", "a", "").await;
+        assert!(reply.outcome.is_ok());
+        let refused = fleet.accept(mesh_with_timeout(4), "refused").await;
+        assert!(matches!(refused, Err(WriteError::Unread(_))));
+        fleet.kill_node(5);
+        fleet.start_node(5);
+        within(
+            10,
+            "joined through peers",
+            fleet.nodes[5].handle.wait_ready(),
+        )
+        .await;
+        fleet.store.set_faults(|faults| faults.down = false);
+        let accepted = fleet
+            .accept(mesh_with_timeout(4), "later")
+            .await
+            .expect("accepted");
+        within(
+            30,
+            "in force after the outage",
+            fleet.wait_version(accepted.version),
+        )
+        .await;
+    });
+}
+
+#[test]
+fn a_silent_watch_hides_nothing_for_long() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(plan(12, 1)).await;
+        fleet
+            .store
+            .set_faults(|faults| faults.silent_watches = true);
+        let accepted = fleet
+            .accept(mesh_with_timeout(4), "unwatched")
+            .await
+            .expect("accepted");
+        within(
+            7,
+            "in force everywhere",
+            fleet.wait_version(accepted.version),
+        )
+        .await;
+    });
+}
+
+#[test]
+fn holders_paused_past_their_lease_are_replaced_and_harmless() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(plan(12, 1)).await;
+        let holders: Vec<usize> = (0..12)
+            .filter(|index| {
+                fleet.nodes[*index]
+                    .handle
+                    .read(|core| core.seat().is_some())
+            })
+            .collect();
+        assert!(holders.len() >= 2, "{holders:?}");
+        holders
+            .iter()
+            .for_each(|index| fleet.pause_node(*index, true));
+        pause(25).await;
+        let accepted = fleet
+            .accept(mesh_with_timeout(4), "new holders")
+            .await
+            .expect("accepted");
+        pause(7).await;
+        let versions = fleet.versions();
+        let running = fleet
+            .nodes
+            .iter()
+            .enumerate()
+            .filter(|(index, _)| !holders.contains(index));
+        for (_, node) in running {
+            assert_eq!(versions[&node.name], accepted.version, "{}", node.name);
+        }
+        holders
+            .iter()
+            .for_each(|index| fleet.pause_node(*index, false));
+        within(
+            20,
+            "the paused ones catch up",
+            fleet.wait_version(accepted.version),
+        )
+        .await;
+    });
+}
+
+#[test]
+fn the_load_on_the_store_does_not_grow_with_the_fleet() {
+    let rate = |nodes: usize| {
+        let mut calls = 0;
+        on_paused_clock(async {
+            let fleet = ready_fleet(plan(nodes, 1)).await;
+            pause(20).await;
+            let total = |fleet: &SmallFleet| fleet.store.counts().values().sum::<u64>();
+            let before = total(&fleet);
+            pause(30).await;
+            calls = total(&fleet) - before;
+        });
+        calls
+    };
+    let (small, large) = (rate(6), rate(48));
+    assert!(
+        large <= small + small / 5,
+        "{small} to {large} calls in 30 s"
+    );
+}
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -372,6 +372,11 @@
             ErrorKind::QueueFull | ErrorKind::BackendShed => {
                 self.retry(call, kind, RetryReason::Overloaded, now);
             }
+            ErrorKind::CallBarred => {
+                // The answer shows that the link works now, so this target isn't left out.
+                self.forget_last_tried(call);
+                self.retry(call, kind, RetryReason::Rerouted, now);
+            }
             _ if rule.reroute => self.retry(call, kind, RetryReason::Rerouted, now),
             ErrorKind::DeadlineRunning => self.reply(call, Err(kind)),
             _ if repeatable => self.retry(call, kind, RetryReason::IdempotentUnknown, now),
@@ -496,6 +501,12 @@
         self.wakes.insert((entry.wake, call));
     }
 
+    fn forget_last_tried(&mut self, call: u64) {
+        if let Some(entry) = self.calls.get_mut(&call) {
+            entry.tried.pop();
+        }
+    }
+
     fn note_doubt(&mut self, call: u64, kind: ErrorKind) {
         if let Some(entry) = self.calls.get_mut(&call) {
             entry.doubt = Some(kind);
