Let other members count holders when the first ones can't be heard; prove the two majorities

Cause: a version is put in force when its data centre's two lowest members have counted a majority; with both of them silent nothing counts until they are declared lost. Change: after two reports without effect the next two members in the order are told. A fresh process asks for configuration only from known members: a request to an unknown one held the others back for 0.7 s.

--- a/crates/sequoiagw-distribution/src/version_machine.rs
+++ b/crates/sequoiagw-distribution/src/version_machine.rs
@@ -41,6 +41,10 @@
 const STAGED_LIMIT: usize = 16;
 /// Time between two reports while a held version isn't in force.
 const REPORT_PERIOD: Duration = Duration::from_millis(500);
+/// Members that count together who holds what.
+const COLLECTOR_COUNT: usize = 2;
+/// Reports after which the next members in the order count, in case these can't be heard.
+const COLLECTOR_ROUNDS: usize = 2;
 /// Time between two reports otherwise, so that a lost one is made up for.
 const REFRESH_PERIOD: Duration = Duration::from_secs(10);
 /// Time a request for configuration may stay unanswered.
@@ -61,8 +65,6 @@
     pub near: Vec<NodeId>,
     /// Bridges of each other data centre.
     pub far: Vec<Vec<NodeId>>,
-    /// The members that count who holds what: the lowest in service, this node included.
-    pub collectors: Vec<NodeId>,
     /// Whether this node links its data centre to the others.
     pub bridge: bool,
     /// Whether the member table has been received from a peer.
@@ -115,6 +117,8 @@
     query_rounds: u32,
     next_query: Option<Instant>,
     next_report: Option<Instant>,
+    /// Reports sent since the version held last came, while it isn't in force.
+    report_rounds: usize,
     request: Option<(NodeId, Instant)>,
     last_full_copy: Option<Instant>,
     rng: ChaCha8Rng,
@@ -140,6 +144,7 @@
             query_rounds: 0,
             next_query: Some(now),
             next_report: None,
+            report_rounds: 0,
             request: None,
             last_full_copy: None,
             rng,
@@ -358,6 +363,7 @@
             self.staged.pop_first();
         }
         self.held = Some(built);
+        self.report_rounds = 0;
         self.request = None;
         let push = match delta {
             Some(delta) => {
@@ -414,9 +420,10 @@
         }
     }
 
-    /// Tells the collectors what this node holds, until it is in force.
+    /// Tells the collectors what this node holds, often while it isn't in force.
     fn report(&mut self, now: Instant) {
         let behind = self.active < self.held_version();
+        self.report_rounds = if behind { self.report_rounds + 1 } else { 0 };
         let period = if behind {
             REPORT_PERIOD
         } else {
@@ -425,13 +432,30 @@
         self.next_report = Some(now + period.mul_f64(self.rng.random_range(0.8..1.2)));
         let report = FrameBody::Versions(self.own_report(false));
         let own = self.node;
-        let collectors = self.peers.collectors.clone();
-        for collector in collectors.into_iter().filter(|node| *node != own) {
+        for collector in self.collectors().into_iter().filter(|node| *node != own) {
             self.send(collector, report.clone());
         }
         self.count_holders(now);
     }
 
+    /// The lowest members in service, or those next in the order when they gave no sign.
+    fn collectors(&self) -> Vec<NodeId> {
+        let mut order: Vec<NodeId> = self.peers.voters.iter().copied().collect();
+        if self.is_ready() {
+            order.push(self.node);
+            order.sort_unstable();
+        }
+        let turn = self.report_rounds.saturating_sub(1) / COLLECTOR_ROUNDS;
+        let start = turn * COLLECTOR_COUNT % order.len().max(1);
+        order
+            .iter()
+            .cycle()
+            .skip(start)
+            .take(COLLECTOR_COUNT.min(order.len()))
+            .copied()
+            .collect()
+    }
+
     fn on_report(&mut self, from: NodeId, report: VersionReport, now: Instant) {
         let near = self.peers.near.contains(&from);
         if near {
@@ -537,7 +561,10 @@
     }
 
     fn request_from(&mut self, node: NodeId, full: bool, now: Instant) {
-        if self.request.is_some() {
+        // A node that isn't a known member yet can't be sent to, and would only block
+        // requests to others.
+        let known = self.peers.near.contains(&node) || self.peers.far.concat().contains(&node);
+        if self.request.is_some() || !known {
             return;
         }
         self.request = Some((node, now + REQUEST_TIME));
--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -772,7 +772,7 @@
         let table = self.membership.table();
         let others = |record: &&MemberRecord| record.node != self.node.get();
         let id = |record: &MemberRecord| NodeId::from(record.node);
-        let collectors = self.membership.bridges(&centre);
+        let bridges = self.membership.bridges(&centre);
         let peers = VersionPeers {
             voters: table.ready(&centre).filter(others).map(id).collect(),
             near: table.reachable(&centre).filter(others).map(id).collect(),
@@ -781,8 +781,7 @@
                 .filter(|other| *other != centre)
                 .map(|other| self.membership.bridges(other))
                 .collect(),
-            bridge: collectors.contains(&self.node) || collectors.is_empty(),
-            collectors,
+            bridge: bridges.contains(&self.node) || bridges.is_empty(),
             joined: self.membership.has_joined(),
         };
         let sight = self.holder_sight(&peers.voters);
--- a/crates/sequoiagw-node/tests/config_promises.rs
+++ b/crates/sequoiagw-node/tests/config_promises.rs
@@ -547,3 +547,120 @@
         "{small} to {large} calls in 30 s"
     );
 }
+
+/// A version that reaches only the holders before everything else fails.
+async fn play_early_holders(seed: u64) {
+    let mut fleet = ready_fleet(FleetPlan {
+        data_centres: 1,
+        ..plan(8, seed)
+    })
+    .await;
+    let mut watch = VersionWatch::default();
+    pause(15).await;
+    pause(15).await;
+    let holders: Vec<usize> = (0..8)
+        .filter(|index| {
+            fleet.nodes[*index]
+                .handle
+                .read(|core| core.seat().is_some())
+        })
+        .collect();
+    fleet.network.set_plan(NetworkPlan {
+        loss: 1.0,
+        ..NetworkPlan::default()
+    });
+    fleet
+        .accept(mesh_with_timeout(9), "early")
+        .await
+        .expect("accepted");
+    watch.look_for(&fleet, Duration::from_millis(1_000)).await;
+    let held = |index: usize| {
+        fleet.nodes[index]
+            .handle
+            .read(sequoiagw_node::NodeCore::held_version)
+    };
+    assert!(
+        holders.iter().any(|index| held(*index) == 2),
+        "a holder has read it"
+    );
+    fleet.store.set_faults(|faults| faults.down = true);
+    for index in holders {
+        fleet.kill_node(index);
+        fleet.start_node(index);
+    }
+    fleet.network.set_plan(NetworkPlan::default());
+    watch.look_for(&fleet, Duration::from_secs(20)).await;
+    assert!(fleet.versions().values().all(|version| *version == 1));
+}
+
+#[test]
+fn a_version_that_few_hold_is_not_acted_on_and_may_be_forgotten() {
+    for seed in 0..10 {
+        on_paused_clock(play_early_holders(seed));
+    }
+}
+
+/// A process restarts while some of its peers are behind and the store is down.
+async fn play_peers_behind(seed: u64) {
+    let mut fleet = ready_fleet(FleetPlan {
+        data_centres: 1,
+        ..plan(9, seed)
+    })
+    .await;
+    let mut watch = VersionWatch::default();
+    pause(15).await;
+    let behind = keep_behind(&fleet);
+    let accepted = fleet
+        .accept(mesh_with_timeout(9), "new")
+        .await
+        .expect("accepted");
+    // Long enough for other members to count when the first ones are behind.
+    watch.look_for(&fleet, Duration::from_millis(2_500)).await;
+    let versions = fleet.versions();
+    let ahead = versions
+        .values()
+        .filter(|version| **version == accepted.version);
+    assert_eq!(ahead.count(), 6, "the majority acts on it: {versions:?}");
+    fleet.store.set_faults(|faults| faults.down = true);
+    fleet.kill_node(0);
+    fleet.start_node(0);
+    fleet.network.heal(fleet.nodes[0].address);
+    // An old version in force for a few milliseconds is one too many.
+    for _ in 0..2_000 {
+        tokio::time::sleep(Duration::from_millis(1)).await;
+        watch.look(&fleet);
+    }
+    for index in behind {
+        fleet.network.heal(fleet.nodes[index].address);
+    }
+    watch.look_for(&fleet, Duration::from_secs(20)).await;
+    let versions = fleet.versions();
+    assert!(
+        versions
+            .values()
+            .all(|version| *version == accepted.version),
+        "{versions:?}"
+    );
+}
+
+/// Silences three nodes towards all others. Holders read the store themselves, so they
+/// can't be kept behind.
+fn keep_behind(fleet: &SmallFleet) -> Vec<usize> {
+    let sits = |index: usize| fleet.nodes[index].handle.read(|core| core.seat().is_some());
+    let behind: Vec<usize> = (1..9).filter(|index| !sits(*index)).take(3).collect();
+    for other in (0..9).filter(|other| !behind.contains(other)) {
+        for index in &behind {
+            fleet
+                .network
+                .silence(fleet.nodes[*index].address, fleet.nodes[other].address);
+        }
+    }
+    behind
+}
+
+#[test]
+fn a_fresh_process_asks_enough_peers_to_meet_one_that_knows() {
+    for seed in 0..20 {
+        on_paused_clock(play_peers_behind(seed));
+    }
+}
--- a/crates/sequoiagw-standin/src/memory_links.rs
+++ b/crates/sequoiagw-standin/src/memory_links.rs
@@ -127,6 +127,14 @@
         state.silent.insert((other, one));
     }
 
+    /// Lets the silent links of one node speak again.
+    pub fn heal(&self, node: NodeAddress) {
+        self.state
+            .borrow_mut()
+            .silent
+            .retain(|(one, other)| *one != node && *other != node);
+    }
+
     /// Silences the links between some share of all pairs.
     pub fn silence_share(&self, share: f64) {
         let addresses: Vec<NodeAddress> = self.state.borrow().nodes.keys().copied().collect();
