--- a/crates/sequoiagw-bench/src/bench_mesh.rs
+++ b/crates/sequoiagw-bench/src/bench_mesh.rs
@@ -5,7 +5,7 @@
 use sequoiagw_config::MeshConfig;
 
 /// Ranks of all measurements, with the shares lower ranks keep in a flood.
-const RANKS: &str = r#"
+const RANKS: &str = r"
 [ranks.urgent]
 level = 0
 [ranks.normal]
@@ -14,7 +14,7 @@
 [ranks.bulk]
 level = 6
 share = 0.05
-"#;
+";
 
 /// Builds a configuration with a route of each rank for each service.
 ///
--- a/crates/sequoiagw-bench/src/commands/converge.rs
+++ b/crates/sequoiagw-bench/src/commands/converge.rs
@@ -22,6 +22,7 @@
 use crate::commands::BenchEntry;
 use crate::fleet_setup::ready_fleet;
 use crate::paused_run::on_paused_clock;
+use crate::process_usage::ProcessUsage;
 use crate::report_line::ReportLine;
 
 pub(crate) const ENTRY: BenchEntry = BenchEntry {
@@ -134,9 +135,14 @@
     let bytes_before = control_bytes(&fleet);
     let calls_before = fleet.store.counts();
     let started = Instant::now();
+    let cpu_before = ProcessUsage::own().cpu;
     let churn = case.fault == "none";
     let last = change_often(&mut fleet, &mut tally, &case, churn).await?;
     let elapsed = started.elapsed().as_secs_f64();
+    let cpu = ProcessUsage::own()
+        .cpu
+        .saturating_sub(cpu_before)
+        .as_secs_f64();
     let behind = fleet
         .versions()
         .values()
@@ -150,6 +156,7 @@
             bytes_before,
             calls_before,
             elapsed,
+            cpu,
             behind,
             idle,
         },
@@ -162,6 +169,7 @@
     bytes_before: BTreeMap<FrameKind, u64>,
     calls_before: BTreeMap<&'static str, u64>,
     elapsed: f64,
+    cpu: f64,
     behind: usize,
     idle: (f64, f64),
 }
@@ -363,6 +371,14 @@
         .number("idle_bytes_per_node_s", idle_bytes)
         .number("store_calls_s", calls)
         .number("idle_store_calls_s", idle_calls)
+        .number(
+            "cpu_share_per_node",
+            input.cpu / input.elapsed / case.nodes as f64,
+        )
+        .number(
+            "resident_mb_per_node",
+            ProcessUsage::own().resident_kb as f64 / 1024.0 / case.nodes as f64,
+        )
         .with("reverts", tally.reverts)
         .with("partial_applies", tally.partial)
         .with("missing", input.behind)
--- /dev/null
+++ b/crates/sequoiagw-bench/src/commands/footprint.rs
@@ -0,0 +1,156 @@
+//! `footprint`: processor time and memory of real node processes in control work, over TCP
+//! on this machine.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use sequoiagw_standin::MemoryStore;
+use sequoiagw_standin::SmallFleet;
+use sequoiagw_standin::StoreServer;
+use tokio::task::LocalSet;
+
+use crate::bench_mesh::mesh_of;
+use crate::bench_mesh::service_names;
+use crate::commands::number;
+use crate::commands::path::free_address;
+use crate::commands::path::start_node;
+use crate::commands::path::NodeProcesses;
+use crate::commands::seed_arg;
+use crate::commands::BenchEntry;
+use crate::process_usage::ProcessUsage;
+use crate::report_line::ReportLine;
+
+pub(crate) const ENTRY: BenchEntry = BenchEntry {
+    name: "footprint",
+    build,
+    run,
+};
+
+/// Data centres.
+const CENTRE_COUNT: usize = 7;
+/// Services in the configuration.
+const SERVICE_COUNT: usize = 80;
+/// Time from the start until the measurement.
+const SETTLE_TIME: Duration = Duration::from_secs(12);
+/// Time of the measurement.
+const MEASURE_TIME: Duration = Duration::from_secs(15);
+/// Time between two changes; the target's is 48 s.
+const CHANGE_PERIOD: Duration = Duration::from_secs(5);
+/// Share of a core that control may take, and resident memory in megabytes.
+const CPU_TARGET: f64 = 0.014;
+const MEMORY_TARGET_MB: f64 = 256.0;
+
+fn build() -> Command {
+    Command::new(ENTRY.name)
+        .about("Processor time and memory of a node in control work, as real processes")
+        .arg(
+            Arg::new("nodes")
+                .long("nodes")
+                .default_value("56")
+                .value_parser(clap::value_parser!(u64).range(7..=150))
+                .help("Processes; run it at several numbers for the slope"),
+        )
+        .arg(seed_arg())
+}
+
+fn run(matches: &ArgMatches) -> eyre::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    let nodes = number(matches, "nodes") as usize;
+    LocalSet::new().block_on(&runtime, measure(nodes, number(matches, "seed")))
+}
+
+async fn measure(nodes: usize, seed: u64) -> eyre::Result<()> {
+    let store = MemoryStore::new(seed);
+    let server = StoreServer::open(SocketAddr::from(([127, 0, 0, 1], 0)), &store)?;
+    let store_address = server
+        .address()
+        .ok_or_else(|| eyre::eyre!("no store address"))?;
+    let processes = start_all(nodes, store_address)?;
+    accept(&store, 0).await?;
+    tokio::time::sleep(SETTLE_TIME).await;
+    let before = usage_of(&processes);
+    let calls_before: u64 = store.counts().values().sum();
+    let rounds = MEASURE_TIME.as_secs() / CHANGE_PERIOD.as_secs();
+    for change in 1..=rounds {
+        accept(&store, change).await?;
+        tokio::time::sleep(CHANGE_PERIOD).await;
+    }
+    let after = usage_of(&processes);
+    let calls = store.counts().values().sum::<u64>() - calls_before;
+    let shares: Vec<f64> = before
+        .iter()
+        .zip(&after)
+        .map(|(before, after)| {
+            (after.cpu.saturating_sub(before.cpu)).as_secs_f64() / MEASURE_TIME.as_secs_f64()
+        })
+        .collect();
+    let mean = shares.iter().sum::<f64>() / shares.len().max(1) as f64;
+    let most = shares.iter().copied().fold(0.0, f64::max);
+    let memory: Vec<f64> = after
+        .iter()
+        .map(|usage| usage.resident_kb as f64 / 1024.0)
+        .collect();
+    let memory_mean = memory.iter().sum::<f64>() / memory.len().max(1) as f64;
+    ReportLine::default()
+        .with("nodes", after.len())
+        .number("cpu_share_mean", mean)
+        .number("cpu_share_max", most)
+        .with("cpu_target", CPU_TARGET)
+        .number("resident_mb_mean", memory_mean)
+        .number(
+            "resident_mb_max",
+            memory.iter().copied().fold(0.0, f64::max),
+        )
+        .with("resident_target_mb", MEMORY_TARGET_MB)
+        .number("store_calls_s", calls as f64 / MEASURE_TIME.as_secs_f64())
+        .print();
+    Ok(())
+}
+
+fn start_all(nodes: usize, store: SocketAddr) -> eyre::Result<NodeProcesses> {
+    let mut processes = NodeProcesses::default();
+    let peers = (0..nodes)
+        .map(|_| free_address())
+        .collect::<eyre::Result<Vec<_>>>()?;
+    let folder = std::env::temp_dir();
+    for (index, peer) in peers.iter().enumerate() {
+        let settings = format!(
+            "name = \"node-{index}\"\ndata_centre = \"dc{}\"\npeer_address = \"{peer}\"\n\
+             caller_address = \"{}\"\nadmin_address = \"{}\"\nlog_level = \"error\"\n\
+             seeds = [\"{}\", \"{}\"]\nstore_endpoints = [\"http://{store}\"]\n\
+             [backend]\nservice = \"s{}\"\naddress = \"127.0.0.1:9\"\nslots = 12\n",
+            index % CENTRE_COUNT,
+            free_address()?,
+            free_address()?,
+            peers[0],
+            peers[1],
+            index % SERVICE_COUNT
+        );
+        let file = folder.join(format!(
+            "sequoiagw-bench-{}-{index}.toml",
+            std::process::id()
+        ));
+        std::fs::write(&file, settings)?;
+        processes.children.push(start_node(&file)?);
+    }
+    Ok(processes)
+}
+
+async fn accept(store: &MemoryStore, change: u64) -> eyre::Result<()> {
+    let extra = format!("queue_limit = {}", 64 + change);
+    let mesh = mesh_of(&service_names(SERVICE_COUNT), "2s", &extra)?;
+    SmallFleet::accept_in(store, mesh, &format!("change-{change}")).await?;
+    Ok(())
+}
+
+fn usage_of(processes: &NodeProcesses) -> Vec<ProcessUsage> {
+    let children = processes.children.iter();
+    children
+        .filter_map(|child| ProcessUsage::of(child.id()))
+        .collect()
+}
--- a/crates/sequoiagw-bench/src/commands/mod.rs
+++ b/crates/sequoiagw-bench/src/commands/mod.rs
@@ -4,6 +4,7 @@
 mod drain;
 mod faults;
 mod flood;
+mod footprint;
 mod path;
 
 use clap::Arg;
@@ -27,6 +28,7 @@
     faults::ENTRY,
     drain::ENTRY,
     converge::ENTRY,
+    footprint::ENTRY,
 ];
 
 /// The argument for the seed.
--- a/crates/sequoiagw-bench/src/commands/path.rs
+++ b/crates/sequoiagw-bench/src/commands/path.rs
@@ -1,5 +1,6 @@
 //! `path`: latency that the path adds to a call, over separate processes.
 
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::path::Path;
 use std::process::Child;
@@ -65,8 +66,10 @@
 }
 
 /// Processes that end with the measurement.
-struct NodeProcesses {
-    children: Vec<Child>,
+#[derive(Default)]
+pub(crate) struct NodeProcesses {
+    /// The processes.
+    pub(crate) children: Vec<Child>,
 }
 
 impl Drop for NodeProcesses {
@@ -152,9 +155,7 @@
 ) -> eyre::Result<NodeProcesses> {
     let peers = [free_address()?, free_address()?];
     let callers = [entry, free_address()?];
-    let mut processes = NodeProcesses {
-        children: Vec::new(),
-    };
+    let mut processes = NodeProcesses::default();
     for (index, name) in ["entry", "owner"].iter().enumerate() {
         let mut settings = format!(
             "name = \"{name}\"\ndata_centre = \"dc0\"\npeer_address = \"{}\"\n\
@@ -167,8 +168,10 @@
             peers[1]
         );
         if *name == "owner" {
-            settings +=
-                &format!("[backend]\nservice = \"s0\"\naddress = \"{backend}\"\nslots = 64\n");
+            writeln!(
+                settings,
+                "[backend]\nservice = \"s0\"\naddress = \"{backend}\"\nslots = 64"
+            )?;
         }
         let file = std::env::temp_dir().join(format!(
             "sequoiagw-bench-{}-{name}.toml",
@@ -180,7 +183,8 @@
     Ok(processes)
 }
 
-fn start_node(settings: &Path) -> eyre::Result<Child> {
+/// Starts a node as a process.
+pub(crate) fn start_node(settings: &Path) -> eyre::Result<Child> {
     let program = node_program()?;
     std::process::Command::new(&program)
         .arg("node")
--- a/crates/sequoiagw-bench/src/main.rs
+++ b/crates/sequoiagw-bench/src/main.rs
@@ -6,6 +6,7 @@
 mod naive_queue;
 mod path_caller;
 mod paused_run;
+mod process_usage;
 mod report_line;
 
 use clap::Command;
--- a/crates/sequoiagw-node/tests/config_promises.rs
+++ b/crates/sequoiagw-node/tests/config_promises.rs
@@ -10,6 +10,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sequoiagw_config::AcceptedConfig;
+use sequoiagw_config::ServiceSpec;
 use sequoiagw_distribution::ConfigChange;
 use sequoiagw_distribution::ConfigWriter;
 use sequoiagw_distribution::WriteError;
@@ -300,7 +301,7 @@
         other
             .config
             .services
-            .insert("oven".to_owned(), Default::default());
+            .insert("oven".to_owned(), ServiceSpec::default());
         let accepted = writer.apply(&other).await.expect("rebased");
         let config = accepted.tree.to_config().expect("valid");
         assert_eq!(accepted.version, 3);
@@ -355,7 +356,7 @@
                 tasks.push(tokio::task::spawn_local(async move {
                     let mut made = change(2, 1, &format!("operator-{operator}"));
                     let service = format!("service-{operator}");
-                    made.config.services.insert(service, Default::default());
+                    made.config.services.insert(service, ServiceSpec::default());
                     writer.apply(&made).await
                 }));
             }
@@ -497,9 +498,9 @@
             })
             .collect();
         assert!(holders.len() >= 2, "{holders:?}");
-        holders
-            .iter()
-            .for_each(|index| fleet.pause_node(*index, true));
+        for index in &holders {
+            fleet.pause_node(*index, true);
+        }
         pause(25).await;
         let accepted = fleet
             .accept(mesh_with_timeout(4), "new holders")
@@ -515,9 +516,9 @@
         for (_, node) in running {
             assert_eq!(versions[&node.name], accepted.version, "{}", node.name);
         }
-        holders
-            .iter()
-            .for_each(|index| fleet.pause_node(*index, false));
+        for index in &holders {
+            fleet.pause_node(*index, false);
+        }
         within(
             20,
             "the paused ones catch up",
@@ -573,7 +574,7 @@
         .accept(mesh_with_timeout(9), "early")
         .await
         .expect("accepted");
-    watch.look_for(&fleet, Duration::from_millis(1_000)).await;
+    watch.look_for(&fleet, Duration::from_secs(1)).await;
     let held = |index: usize| {
         fleet.nodes[index]
             .handle
