--- a/crates/sequoiagw-bench/src/commands/converge.rs
+++ b/crates/sequoiagw-bench/src/commands/converge.rs
@@ -377,8 +377,8 @@
         .number("store_calls_s", calls)
         .number("idle_store_calls_s", idle_calls)
         .number(
-            "cpu_share_per_node",
-            input.cpu / input.elapsed / case.nodes as f64,
+            "cpu_us_per_node_s",
+            input.cpu * 1e6 / input.elapsed / case.nodes as f64,
         )
         .number(
             "resident_mb_per_node",
--- a/crates/sequoiagw-bench/src/commands/footprint.rs
+++ b/crates/sequoiagw-bench/src/commands/footprint.rs
@@ -99,8 +99,8 @@
     let memory_mean = memory.iter().sum::<f64>() / memory.len().max(1) as f64;
     ReportLine::default()
         .with("nodes", after.len())
-        .number("cpu_share_mean", mean)
-        .number("cpu_share_max", most)
+        .with("cpu_share_mean", format!("{mean:.5}"))
+        .with("cpu_share_max", format!("{most:.5}"))
         .with("cpu_target", CPU_TARGET)
         .number("resident_mb_mean", memory_mean)
         .number(
--- a/crates/sequoiagw-bench/src/commands/path.rs
+++ b/crates/sequoiagw-bench/src/commands/path.rs
@@ -28,6 +28,7 @@
 use crate::path_caller::call_in_turn;
 use crate::path_caller::PathTally;
 use crate::path_caller::PathTarget;
+use crate::process_usage::ProcessUsage;
 use crate::report_line::ReportLine;
 
 pub(crate) const ENTRY: BenchEntry = BenchEntry {
@@ -100,7 +101,7 @@
     let backend = spawn_backend(seed)?;
     let addresses = free_addresses(6)?;
     let entry = addresses[0];
-    let _processes = start_nodes(store_address, backend, &addresses)?;
+    let processes = start_nodes(store_address, backend, &addresses)?;
     accept_mesh(&store).await?;
     wait_ready(entry).await?;
     let ways = [
@@ -114,7 +115,14 @@
         },
     ];
     call_all(&ways, rate, WARM_TIME, seed + 1000).await?;
+    let before = cpu_times(&processes);
     let [direct, through] = call_all(&ways, rate, time, seed).await?;
+    let per_call: Vec<f64> = cpu_times(&processes)
+        .iter()
+        .zip(&before)
+        .map(|(after, before)| after.saturating_sub(*before).as_secs_f64())
+        .map(|used| used * 1e6 / through.latencies.len().max(1) as f64)
+        .collect();
     let millis = |tally: &PathTally, share| tally.latencies.value_at_quantile(share) as f64 / 1e3;
     println!(
         "direct: p50 {:.3} ms, p99 {:.3} ms; through two nodes: p50 {:.3} ms, p99 {:.3} ms",
@@ -130,6 +138,8 @@
             millis(&through, 0.99) - millis(&direct, 0.99),
         )
         .with("target_p99_ms", ADDED_TARGET_MS)
+        .number("entry_cpu_us_per_call", per_call[0])
+        .number("owner_cpu_us_per_call", per_call[1])
         .with("calls", direct.latencies.len() + through.latencies.len())
         .with("errors", direct.errors + through.errors)
         .print();
@@ -177,6 +187,14 @@
     Ok(processes)
 }
 
+/// Processor time of the entry and the owner so far.
+fn cpu_times(processes: &NodeProcesses) -> Vec<Duration> {
+    let children = processes.children.iter();
+    children
+        .map(|child| ProcessUsage::of(child.id()).unwrap_or_default().cpu)
+        .collect()
+}
+
 /// Writes the settings of a process to a file of its own.
 pub(crate) fn write_settings(name: &str, settings: &str) -> eyre::Result<PathBuf> {
     let file = format!("sequoiagw-bench-{}-{name}.toml", std::process::id());
