--- a/crates/sequoiagw-distribution/src/claim_committer.rs
+++ b/crates/sequoiagw-distribution/src/claim_committer.rs
@@ -18,8 +18,8 @@
 
 /// Claims in one call: the store's limit on operations.
 const BATCH_LIMIT: usize = 128;
-/// Time in which one committer earns a call: 40 writes a second at most.
-const COMMIT_INTERVAL: Duration = Duration::from_millis(25);
+/// Writes a second that all committers of the fleet together may make.
+const FLEET_COMMITS_PER_S: u32 = 280;
 /// Calls that a committer may save up, so that few claims needn't wait.
 const SAVED_COMMITS: u32 = 8;
 /// Claims that may wait; beyond, they fail at once.
@@ -47,6 +47,8 @@
     granting: bool,
     lease: Option<(LeaseId, Instant)>,
     window: Duration,
+    /// Time in which this committer earns a call.
+    interval: Duration,
     /// Time up to which the calls made are paid for.
     paid_until: Option<Instant>,
     actions: Vec<ClaimAction>,
@@ -66,6 +68,11 @@
         self.window = window;
     }
 
+    /// Sets the number of committers in the fleet, among whom the writes are shared.
+    pub fn set_committers(&mut self, count: u32) {
+        self.interval = Duration::from_secs(1) * count.max(1) / FLEET_COMMITS_PER_S;
+    }
+
     /// Takes claims from a node.
     pub fn on_claims(&mut self, from: NodeId, claims: &[KeyClaim], now: Instant) {
         let room = BACKLOG_LIMIT.saturating_sub(self.waiting.len());
@@ -109,7 +116,7 @@
             return None;
         }
         self.paid_until.map(|paid| {
-            paid.checked_sub(COMMIT_INTERVAL * SAVED_COMMITS)
+            paid.checked_sub(self.interval * SAVED_COMMITS)
                 .unwrap_or(paid)
         })
     }
@@ -117,14 +124,14 @@
     /// Earliest time of the next call.
     fn next_commit(&self, now: Instant) -> Instant {
         self.paid_until
-            .and_then(|paid| paid.checked_sub(COMMIT_INTERVAL * SAVED_COMMITS))
+            .and_then(|paid| paid.checked_sub(self.interval * SAVED_COMMITS))
             .unwrap_or(now)
     }
 
     /// Pays for a call; calls not made are saved up to a limit.
     fn pay(&mut self, now: Instant) {
         let from = self.paid_until.map_or(now, |paid| paid.max(now));
-        self.paid_until = Some(from + COMMIT_INTERVAL);
+        self.paid_until = Some(from + self.interval);
     }
 
     fn commit(&mut self, now: Instant) {
