Split the large machines by job

Change: moved without a change of behaviour: messages, store, settling and changes of the node; probes and tables of membership; spread and majorities of versions; keys and runs of the owner; retries of the entry; each action type in its own file; an owner without a backend server is a default. Proof: all tests pass as before.

--- /dev/null
+++ b/crates/sequoiagw-distribution/src/version_action.rs
@@ -0,0 +1,26 @@
+//! Actions of the version machine.
+
+use std::sync::Arc;
+
+use sequoiagw_config::ConfigError;
+use sequoiagw_config::SnapshotTable;
+use sequoiagw_protocol::FrameBody;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::VersionMark;
+
+/// What the machine wants done.
+#[derive(Clone, Debug)]
+pub enum VersionAction {
+    /// Send a message.
+    Send(NodeId, FrameBody),
+    /// Put a version in force.
+    Activate(Arc<SnapshotTable>),
+    /// The versions told to peers changed.
+    Marked(VersionMark),
+    /// A version was refused; the last good one stays in force.
+    Refused(u64, ConfigError),
+    /// Read the newest version from the platform's store.
+    ReadStore,
+    /// Count a full copy that was put off.
+    FullCopyDeferred,
+}
--- a/crates/sequoiagw-membership/src/lib.rs
+++ b/crates/sequoiagw-membership/src/lib.rs
@@ -3,13 +3,16 @@
 //! Nothing lists the members. Each node keeps a table that it builds from what its peers
 //! tell it. The state machine does no I/O and takes the clock's reading with each event.
 
+mod member_probes;
 mod member_table;
+mod member_tables;
+mod membership_action;
 mod membership_machine;
 mod probe_round;
 mod record_order;
 mod update_queue;
 
 pub use member_table::MemberTable;
-pub use membership_machine::MembershipAction;
+pub use membership_action::MembershipAction;
 pub use membership_machine::MembershipMachine;
 pub use record_order::record_precedes;
--- /dev/null
+++ b/crates/sequoiagw-node/src/core_settle.rs
@@ -0,0 +1,210 @@
+//! Settling what the machines want of each other.
+
+use std::time::Duration;
+
+use sequoiagw_distribution::ClaimAction;
+use sequoiagw_distribution::HolderAction;
+use sequoiagw_distribution::StoreKeys;
+use sequoiagw_distribution::VersionAction;
+use sequoiagw_membership::MembershipAction;
+use sequoiagw_policy::EntryAction;
+use sequoiagw_policy::OwnerAction;
+use sequoiagw_protocol::FrameBody;
+use sequoiagw_protocol::MemberState;
+use sequoiagw_store::StoreRequest;
+use tokio::time::Instant;
+use tracing::info;
+use tracing::warn;
+
+use crate::CoreAction;
+use crate::NodeCore;
+use crate::StoreTag;
+
+/// Time a leaver stays after its last call, so that its peers learn of it first.
+const LINGER_TIME: Duration = Duration::from_millis(500);
+
+impl NodeCore {
+    /// Settles what the machines want of each other until nothing is left to do.
+    pub(crate) fn settle(&mut self, now: Instant) {
+        loop {
+            if std::mem::take(&mut self.members_changed) {
+                self.on_members_changed(now);
+            }
+            let mut idle = self.settle_membership(now);
+            idle &= self.settle_versions(now);
+            idle &= self.settle_holder(now);
+            idle &= self.settle_claims(now);
+            idle &= self.settle_entry();
+            idle &= self.settle_owner(now);
+            while let Some(body) = self.own_frames.pop_front() {
+                idle = false;
+                self.on_body(self.node, self.identity.boot, body, now);
+            }
+            if idle && !self.members_changed {
+                break;
+            }
+        }
+        self.check_stopped(now);
+    }
+
+    pub(crate) fn settle_membership(&mut self, now: Instant) -> bool {
+        let actions = self.membership.take_actions();
+        let idle = actions.is_empty();
+        for action in actions {
+            match action {
+                MembershipAction::Send(node, body) => self.send(node, body),
+                MembershipAction::SendTo(address, body) => self.send_to(address, body),
+                MembershipAction::Changed(_) => self.members_changed = true,
+                MembershipAction::Departed(node) => {
+                    self.counters.count("member.departed");
+                    self.entry.on_node_lost(node, None, now);
+                }
+                MembershipAction::Versions(from, mark) => {
+                    let record = self.members().get(from);
+                    let near = record
+                        .is_some_and(|record| record.data_centre == self.identity.data_centre);
+                    self.versions.on_mark(from, near, mark, now);
+                }
+                MembershipAction::EntryPointsWanted => {
+                    let prefix = StoreKeys::holders_prefix();
+                    let request = StoreRequest::ReadPrefix { prefix };
+                    self.actions
+                        .push(CoreAction::Store(StoreTag::EntryPoints, request));
+                }
+            }
+        }
+        idle
+    }
+
+    pub(crate) fn settle_versions(&mut self, now: Instant) -> bool {
+        let actions = self.versions.take_actions();
+        let idle = actions.is_empty();
+        for action in actions {
+            match action {
+                VersionAction::Send(node, body) => self.send(node, body),
+                VersionAction::Activate(snapshot) => self.activate(snapshot, now),
+                VersionAction::Marked(mark) => self.membership.set_versions(mark),
+                VersionAction::Refused(version, error) => {
+                    self.counters.refused(error.name());
+                    warn!(
+                        event = "version_refused", node = %self.identity.name, version,
+                        reason = error.name(), error = %error
+                    );
+                    self.membership
+                        .announce(|own| own.refused_version = version, now);
+                }
+                VersionAction::ReadStore => self.read_current(),
+                VersionAction::FullCopyDeferred => self.counters.count("config.full_deferred"),
+            }
+        }
+        idle
+    }
+
+    pub(crate) fn settle_holder(&mut self, now: Instant) -> bool {
+        let actions = self.holder.take_actions();
+        let idle = actions.is_empty();
+        for action in actions {
+            match action {
+                HolderAction::Call(request) => {
+                    self.actions
+                        .push(CoreAction::Store(StoreTag::Holder, request));
+                }
+                HolderAction::Watch(revision) => self.actions.push(CoreAction::Watch(revision)),
+                HolderAction::Unwatch => self.actions.push(CoreAction::Unwatch),
+                HolderAction::ReadVersion(version) => self.read_version(version),
+                HolderAction::Seated(seat) => {
+                    info!(event = "seat_changed", node = %self.identity.name, seat = ?seat);
+                    self.membership
+                        .announce(|own| own.seat = seat.map_or(0, |seat| seat + 1), now);
+                }
+            }
+        }
+        idle
+    }
+
+    pub(crate) fn settle_claims(&mut self, now: Instant) -> bool {
+        let actions = self.committer.take_actions();
+        let idle = actions.is_empty();
+        for action in actions {
+            match action {
+                ClaimAction::Call(request) => {
+                    self.actions
+                        .push(CoreAction::Store(StoreTag::Claims, request));
+                }
+                ClaimAction::Reply(node, reply) if node == self.node => {
+                    self.on_claim_reply(&reply, now);
+                }
+                ClaimAction::Reply(node, reply) => self.send(node, FrameBody::ClaimReply(reply)),
+            }
+        }
+        idle
+    }
+
+    pub(crate) fn settle_entry(&mut self) -> bool {
+        let actions = self.entry.take_actions();
+        let idle = actions.is_empty();
+        for action in actions {
+            match action {
+                EntryAction::Send(node, body) => self.send(node, body),
+                EntryAction::ResetLink(node) => {
+                    self.counters.count("link.reset");
+                    if let Some(address) = self.members().address(node) {
+                        self.actions.push(CoreAction::ResetLink(address));
+                    }
+                }
+                EntryAction::Reply(call, reply) => {
+                    if let Err(kind) = reply.outcome {
+                        self.counters.refused(kind.rule().name);
+                    }
+                    self.actions.push(CoreAction::Reply(call, reply));
+                }
+                EntryAction::Retried(reason) => {
+                    self.counters.count(&format!("retried.{}", reason.name()));
+                }
+                EntryAction::BudgetSpent => self.counters.count("retry.budget_spent"),
+                EntryAction::LateAnswer => self.counters.count("answer.late"),
+                EntryAction::Ejected(_) => self.counters.count("target.ejected"),
+            }
+        }
+        idle
+    }
+
+    pub(crate) fn settle_owner(&mut self, now: Instant) -> bool {
+        let actions = self.owner.take_actions();
+        let idle = actions.is_empty();
+        for action in actions {
+            match action {
+                OwnerAction::Answer(node, answer) => self.send(node, FrameBody::Answer(answer)),
+                OwnerAction::Run(request) => self.actions.push(CoreAction::Run(request)),
+                OwnerAction::Abort(run) => self.actions.push(CoreAction::Abort(run)),
+                OwnerAction::Claim(claim, tries) => self.claim(claim, tries, now),
+                OwnerAction::Refused(kind) => {
+                    self.counters
+                        .count(&format!("owner_refused.{}", kind.rule().name));
+                }
+            }
+        }
+        idle
+    }
+
+    pub(crate) fn check_stopped(&mut self, now: Instant) {
+        if !self.draining || self.stopped {
+            return;
+        }
+        if self.open_calls() > 0 {
+            self.linger_until = None;
+            return;
+        }
+        let until = *self.linger_until.get_or_insert(now + LINGER_TIME);
+        if now < until {
+            return;
+        }
+        self.stopped = true;
+        self.membership
+            .announce(|own| own.set_state(MemberState::Left), now);
+        self.membership.push_to_all();
+        self.settle_membership(now);
+        info!(event = "drain_finished", node = %self.identity.name);
+        self.actions.push(CoreAction::Stopped);
+    }
+}
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -5,7 +5,6 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use sequoiagw_protocol::CallAnswer;
 use sequoiagw_protocol::CallCancel;
@@ -16,7 +15,6 @@
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::RanState;
-use sequoiagw_protocol::RedirectAnswer;
 use sequoiagw_protocol::ServedAnswer;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
@@ -27,6 +25,7 @@
 use crate::CallRequest;
 use crate::CallSpec;
 use crate::CallerReply;
+use crate::EntryAction;
 use crate::PickRequest;
 use crate::RetryBudget;
 use crate::RetryReason;
@@ -45,45 +44,20 @@
 const MARGIN_FROM: Duration = Duration::from_millis(200);
 /// Time past the deadline for which the owner's word is awaited.
 const DEADLINE_GRACE: Duration = Duration::from_millis(20);
-/// First pause before a try at an overloaded service.
-const PAUSE_TIME: Duration = Duration::from_millis(4);
-/// Tries that refusals outside a backend server's control may cost beyond the allowance.
-const FREE_TRIES: u32 = 4;
-/// Redirects that one call may follow.
-const REDIRECT_LIMIT: u32 = 2;
-
-/// What the entry wants done.
-#[derive(Clone, Debug)]
-pub enum EntryAction {
-    /// Send a message to a node.
-    Send(NodeId, FrameBody),
-    /// Replace the link to a node by a fresh one.
-    ResetLink(NodeId),
-    /// Answer the caller of a call.
-    Reply(u64, CallerReply),
-    /// Count a retry.
-    Retried(RetryReason),
-    /// Count a retry that the budget didn't allow.
-    BudgetSpent,
-    /// Count an answer that no call waits for.
-    LateAnswer,
-    /// Count an ejection.
-    Ejected(NodeId),
-}
 
 /// State of an entry.
 #[derive(Debug)]
 pub struct EntryMachine {
-    board: TargetBoard,
-    calls: HashMap<u64, EntryCall>,
+    pub(crate) board: TargetBoard,
+    pub(crate) calls: HashMap<u64, EntryCall>,
     /// Calls by the number of their current dispatch; each dispatch has a number of its own.
-    dispatches: HashMap<u64, u64>,
-    wakes: BTreeSet<(Instant, u64)>,
-    heard: HashMap<NodeId, Instant>,
-    budgets: BTreeMap<String, RetryBudget>,
-    next_number: u64,
-    rng: ChaCha8Rng,
-    actions: Vec<EntryAction>,
+    pub(crate) dispatches: HashMap<u64, u64>,
+    pub(crate) wakes: BTreeSet<(Instant, u64)>,
+    pub(crate) heard: HashMap<NodeId, Instant>,
+    pub(crate) budgets: BTreeMap<String, RetryBudget>,
+    pub(crate) next_number: u64,
+    pub(crate) rng: ChaCha8Rng,
+    pub(crate) actions: Vec<EntryAction>,
 }
 
 impl EntryMachine {
@@ -296,7 +270,7 @@
         );
     }
 
-    fn dispatch(&mut self, call: u64, now: Instant) {
+    pub(crate) fn dispatch(&mut self, call: u64, now: Instant) {
         let Some(entry) = self.calls.get(&call) else {
             return;
         };
@@ -316,21 +290,13 @@
         }
     }
 
-    /// Every target has been tried: starts over with all of them, after a pause.
-    fn forget_tried(&mut self, call: u64, now: Instant) {
-        let pause = self.pause_before(call);
-        let Some(entry) = self.calls.get_mut(&call) else {
-            return;
-        };
-        entry.tried.clear();
-        if self.board.targets(&entry.spec.service).is_empty() {
-            self.reply(call, Err(ErrorKind::TargetMissing));
-            return;
-        }
-        self.set_phase(call, EntryPhase::Pausing, now + pause);
-    }
-
-    fn send_to(&mut self, call: u64, target: TargetInfo, redirected: bool, now: Instant) {
+    pub(crate) fn send_to(
+        &mut self,
+        call: u64,
+        target: TargetInfo,
+        redirected: bool,
+        now: Instant,
+    ) {
         let number = self.take_number();
         let Some(entry) = self.calls.get_mut(&call) else {
             return;
@@ -357,100 +323,7 @@
         self.reply(call, Ok(served));
     }
 
-    fn on_refusal(&mut self, call: u64, kind: ErrorKind, now: Instant) {
-        let node = self.target_node(call);
-        let Some(entry) = self.calls.get(&call) else {
-            return;
-        };
-        let rule = kind.rule();
-        let repeatable = entry.spec.idempotent && rule.ran == RanState::Unknown;
-        let harmful = matches!(kind, ErrorKind::BackendBroken | ErrorKind::BackendRefused);
-        if let (true, Some(node)) = (harmful, node) {
-            self.note_failure(node, now);
-        }
-        match kind {
-            ErrorKind::QueueFull | ErrorKind::BackendShed => {
-                self.retry(call, kind, RetryReason::Overloaded, now);
-            }
-            ErrorKind::CallBarred => {
-                // The answer shows that the link works now, so this target isn't left out.
-                self.forget_last_tried(call);
-                self.retry(call, kind, RetryReason::Rerouted, now);
-            }
-            _ if rule.reroute => self.retry(call, kind, RetryReason::Rerouted, now),
-            ErrorKind::DeadlineRunning => self.reply(call, Err(kind)),
-            _ if repeatable => self.retry(call, kind, RetryReason::IdempotentUnknown, now),
-            _ => self.reply(call, Err(kind)),
-        }
-    }
-
-    /// Gives a call up as lost with its target; an idempotent one is tried elsewhere.
-    fn lose(&mut self, call: u64, now: Instant) {
-        if let Some(node) = self.target_node(call) {
-            self.note_failure(node, now);
-        }
-        self.on_refusal(call, ErrorKind::TargetLost, now);
-    }
-
-    fn retry(&mut self, call: u64, kind: ErrorKind, reason: RetryReason, now: Instant) {
-        let Some(entry) = self.calls.get(&call) else {
-            return;
-        };
-        let free = matches!(reason, RetryReason::Rerouted | RetryReason::Undelivered);
-        let allowance = entry.spec.retries as u32 + if free { FREE_TRIES } else { 0 };
-        if entry.tries > allowance || now >= entry.deadline {
-            self.reply(call, Err(kind));
-            return;
-        }
-        let budget = self.budgets.entry(entry.spec.service.clone()).or_default();
-        if !free && !budget.spend() {
-            self.actions.push(EntryAction::BudgetSpent);
-            self.reply(call, Err(kind));
-            return;
-        }
-        self.actions.push(EntryAction::Retried(reason));
-        self.release_target(call);
-        if reason == RetryReason::IdempotentUnknown {
-            self.note_doubt(call, kind);
-        }
-        if free {
-            self.dispatch(call, now);
-        } else {
-            let pause = self.pause_before(call);
-            self.set_phase(call, EntryPhase::Pausing, now + pause);
-        }
-    }
-
-    fn redirect(&mut self, call: u64, redirect: RedirectAnswer, now: Instant) {
-        self.release_target(call);
-        let Some(entry) = self.calls.get_mut(&call) else {
-            return;
-        };
-        entry.redirects += 1;
-        let node = NodeId::from(redirect.node);
-        let known = self
-            .board
-            .targets(&entry.spec.service)
-            .iter()
-            .find(|target| target.node == node && target.boot == redirect.boot);
-        match known.cloned() {
-            Some(target) if entry.redirects <= REDIRECT_LIMIT => {
-                self.actions
-                    .push(EntryAction::Retried(RetryReason::KeyRedirected));
-                self.send_to(call, target, true, now);
-            }
-            _ => self.reply(call, Err(ErrorKind::KeyUnknown)),
-        }
-    }
-
-    /// Jittered pause that doubles with each try.
-    fn pause_before(&mut self, call: u64) -> Duration {
-        let tries = self.calls.get(&call).map_or(0, |entry| entry.tries.min(6));
-        let most = PAUSE_TIME * 2u32.pow(tries);
-        most.mul_f64(self.rng.random_range(0.5..1.0))
-    }
-
-    fn reply(&mut self, call: u64, outcome: Result<ServedAnswer, ErrorKind>) {
+    pub(crate) fn reply(&mut self, call: u64, outcome: Result<ServedAnswer, ErrorKind>) {
         if let Some(entry) = self.remove(call) {
             let outcome = outcome.map_err(|kind| match entry.doubt {
                 Some(doubt) if kind.rule().ran == RanState::No => doubt,
@@ -473,7 +346,7 @@
     }
 
     /// Counts the call at its target as over; the target itself stays noted.
-    fn release_target(&mut self, call: u64) {
+    pub(crate) fn release_target(&mut self, call: u64) {
         let Some(entry) = self.calls.get_mut(&call) else {
             return;
         };
@@ -487,7 +360,7 @@
         }
     }
 
-    fn set_phase(&mut self, call: u64, phase: EntryPhase, wake: Instant) {
+    pub(crate) fn set_phase(&mut self, call: u64, phase: EntryPhase, wake: Instant) {
         let Some(entry) = self.calls.get_mut(&call) else {
             return;
         };
@@ -501,24 +374,6 @@
         self.wakes.insert((entry.wake, call));
     }
 
-    fn forget_last_tried(&mut self, call: u64) {
-        if let Some(entry) = self.calls.get_mut(&call) {
-            entry.tried.pop();
-        }
-    }
-
-    fn note_doubt(&mut self, call: u64, kind: ErrorKind) {
-        if let Some(entry) = self.calls.get_mut(&call) {
-            entry.doubt = Some(kind);
-        }
-    }
-
-    fn note_failure(&mut self, node: NodeId, now: Instant) {
-        if self.board.failed(node, now) {
-            self.actions.push(EntryAction::Ejected(node));
-        }
-    }
-
     fn take_number(&mut self) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
@@ -531,7 +386,7 @@
         (self.target_node(call)? == node).then_some(call)
     }
 
-    fn target_node(&self, call: u64) -> Option<NodeId> {
+    pub(crate) fn target_node(&self, call: u64) -> Option<NodeId> {
         self.calls
             .get(&call)?
             .target
--- /dev/null
+++ b/crates/sequoiagw-policy/src/entry_retries.rs
@@ -0,0 +1,149 @@
+//! What the entry does with refusals, losses and redirects.
+
+use std::time::Duration;
+
+use rand::Rng;
+use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::RanState;
+use sequoiagw_protocol::RedirectAnswer;
+use tokio::time::Instant;
+
+use crate::entry_call::EntryPhase;
+use crate::EntryAction;
+use crate::EntryMachine;
+use crate::RetryReason;
+
+/// First pause before a try at an overloaded service.
+const PAUSE_TIME: Duration = Duration::from_millis(4);
+/// Tries that refusals outside a backend server's control may cost beyond the allowance.
+const FREE_TRIES: u32 = 4;
+/// Redirects that one call may follow.
+const REDIRECT_LIMIT: u32 = 2;
+
+impl EntryMachine {
+    pub(crate) fn on_refusal(&mut self, call: u64, kind: ErrorKind, now: Instant) {
+        let node = self.target_node(call);
+        let Some(entry) = self.calls.get(&call) else {
+            return;
+        };
+        let rule = kind.rule();
+        let repeatable = entry.spec.idempotent && rule.ran == RanState::Unknown;
+        let harmful = matches!(kind, ErrorKind::BackendBroken | ErrorKind::BackendRefused);
+        if let (true, Some(node)) = (harmful, node) {
+            self.note_failure(node, now);
+        }
+        match kind {
+            ErrorKind::QueueFull | ErrorKind::BackendShed => {
+                self.retry(call, kind, RetryReason::Overloaded, now);
+            }
+            ErrorKind::CallBarred => {
+                // The answer shows that the link works now, so this target isn't left out.
+                self.forget_last_tried(call);
+                self.retry(call, kind, RetryReason::Rerouted, now);
+            }
+            _ if rule.reroute => self.retry(call, kind, RetryReason::Rerouted, now),
+            ErrorKind::DeadlineRunning => self.reply(call, Err(kind)),
+            _ if repeatable => self.retry(call, kind, RetryReason::IdempotentUnknown, now),
+            _ => self.reply(call, Err(kind)),
+        }
+    }
+
+    /// Gives a call up as lost with its target; an idempotent one is tried elsewhere.
+    pub(crate) fn lose(&mut self, call: u64, now: Instant) {
+        if let Some(node) = self.target_node(call) {
+            self.note_failure(node, now);
+        }
+        self.on_refusal(call, ErrorKind::TargetLost, now);
+    }
+
+    pub(crate) fn retry(&mut self, call: u64, kind: ErrorKind, reason: RetryReason, now: Instant) {
+        let Some(entry) = self.calls.get(&call) else {
+            return;
+        };
+        let free = matches!(reason, RetryReason::Rerouted | RetryReason::Undelivered);
+        let allowance = entry.spec.retries as u32 + if free { FREE_TRIES } else { 0 };
+        if entry.tries > allowance || now >= entry.deadline {
+            self.reply(call, Err(kind));
+            return;
+        }
+        let budget = self.budgets.entry(entry.spec.service.clone()).or_default();
+        if !free && !budget.spend() {
+            self.actions.push(EntryAction::BudgetSpent);
+            self.reply(call, Err(kind));
+            return;
+        }
+        self.actions.push(EntryAction::Retried(reason));
+        self.release_target(call);
+        if reason == RetryReason::IdempotentUnknown {
+            self.note_doubt(call, kind);
+        }
+        if free {
+            self.dispatch(call, now);
+        } else {
+            let pause = self.pause_before(call);
+            self.set_phase(call, EntryPhase::Pausing, now + pause);
+        }
+    }
+
+    pub(crate) fn redirect(&mut self, call: u64, redirect: RedirectAnswer, now: Instant) {
+        self.release_target(call);
+        let Some(entry) = self.calls.get_mut(&call) else {
+            return;
+        };
+        entry.redirects += 1;
+        let node = NodeId::from(redirect.node);
+        let known = self
+            .board
+            .targets(&entry.spec.service)
+            .iter()
+            .find(|target| target.node == node && target.boot == redirect.boot);
+        match known.cloned() {
+            Some(target) if entry.redirects <= REDIRECT_LIMIT => {
+                self.actions
+                    .push(EntryAction::Retried(RetryReason::KeyRedirected));
+                self.send_to(call, target, true, now);
+            }
+            _ => self.reply(call, Err(ErrorKind::KeyUnknown)),
+        }
+    }
+
+    /// Jittered pause that doubles with each try.
+    pub(crate) fn pause_before(&mut self, call: u64) -> Duration {
+        let tries = self.calls.get(&call).map_or(0, |entry| entry.tries.min(6));
+        let most = PAUSE_TIME * 2u32.pow(tries);
+        most.mul_f64(self.rng.random_range(0.5..1.0))
+    }
+
+    /// Every target has been tried: starts over with all of them, after a pause.
+    pub(crate) fn forget_tried(&mut self, call: u64, now: Instant) {
+        let pause = self.pause_before(call);
+        let Some(entry) = self.calls.get_mut(&call) else {
+            return;
+        };
+        entry.tried.clear();
+        if self.board.targets(&entry.spec.service).is_empty() {
+            self.reply(call, Err(ErrorKind::TargetMissing));
+            return;
+        }
+        self.set_phase(call, EntryPhase::Pausing, now + pause);
+    }
+
+    pub(crate) fn forget_last_tried(&mut self, call: u64) {
+        if let Some(entry) = self.calls.get_mut(&call) {
+            entry.tried.pop();
+        }
+    }
+
+    pub(crate) fn note_doubt(&mut self, call: u64, kind: ErrorKind) {
+        if let Some(entry) = self.calls.get_mut(&call) {
+            entry.doubt = Some(kind);
+        }
+    }
+
+    pub(crate) fn note_failure(&mut self, node: NodeId, now: Instant) {
+        if self.board.failed(node, now) {
+            self.actions.push(EntryAction::Ejected(node));
+        }
+    }
+}
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -4,11 +4,17 @@
 //! returns actions. Nothing here does I/O, starts a thread or holds global state.
 
 mod call_id;
+mod entry_action;
 mod entry_call;
 mod entry_machine;
+mod entry_retries;
 mod key_ledger;
+mod owner_action;
 mod owner_call;
+mod owner_keys;
 mod owner_machine;
+mod owner_runs;
+mod owner_setup;
 mod rank_queue;
 mod retry_budget;
 mod slot_limiter;
@@ -16,20 +22,20 @@
 
 pub use call_id::CallId;
 pub use call_id::RunId;
+pub use entry_action::EntryAction;
 pub use entry_call::CallRequest;
 pub use entry_call::CallSpec;
 pub use entry_call::CallerReply;
 pub use entry_call::RetryReason;
 pub use entry_call::RETRY_REASONS;
-pub use entry_machine::EntryAction;
 pub use entry_machine::EntryMachine;
 pub use key_ledger::KeyLedger;
 pub use key_ledger::KeyState;
+pub use owner_action::OwnerAction;
 pub use owner_call::BackendResult;
 pub use owner_call::RunRequest;
-pub use owner_machine::OwnerAction;
 pub use owner_machine::OwnerMachine;
-pub use owner_machine::OwnerSetup;
+pub use owner_setup::OwnerSetup;
 pub use rank_queue::PushOutcome;
 pub use rank_queue::QueuedCall;
 pub use rank_queue::RankQueue;
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -9,27 +9,21 @@
 use sequoiagw_protocol::CallOutcome;
 use sequoiagw_protocol::CallQuery;
 use sequoiagw_protocol::ErrorKind;
-use sequoiagw_protocol::KeyClaim;
 use sequoiagw_protocol::LoadReport;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PendingAnswer;
-use sequoiagw_protocol::RankLevel;
-use sequoiagw_protocol::RedirectAnswer;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::owner_call::ledger_key;
 use crate::owner_call::OwnerCall;
 use crate::owner_call::OwnerState;
-use crate::BackendResult;
 use crate::CallId;
 use crate::KeyLedger;
 use crate::KeyState;
-use crate::PushOutcome;
-use crate::QueuedCall;
+use crate::OwnerAction;
+use crate::OwnerSetup;
 use crate::RankQueue;
 use crate::RunId;
-use crate::RunRequest;
 use crate::SlotLimiter;
 
 /// Time for which an outcome is kept, so that it can be asked for after a lost link.
@@ -41,73 +35,29 @@
 const CALL_MEMORY: Duration = Duration::from_secs(60);
 /// Time for which a barred call stays barred.
 const BAR_MEMORY: Duration = Duration::from_secs(20 * 60);
-/// Time for which a keyed call may run on past its deadline, so that a retry finds the answer.
-const KEYED_GRACE: Duration = Duration::from_secs(5);
-/// Time after which an unanswered claim is tried through another holder.
-const CLAIM_RETRY: Duration = Duration::from_millis(300);
-/// Tries at a claim before the call is refused.
-const CLAIM_TRIES: u32 = 4;
-/// Memory of a key, in multiples of the window for which the store keeps its claim.
-const KEY_MEMORY_FACTOR: u32 = 2;
-/// Part of the slots that may be reserved at most.
-const RESERVED_DIVISOR: u32 = 4;
-
-/// What the owner wants done.
-#[derive(Clone, Debug)]
-pub enum OwnerAction {
-    /// Send an answer to an entry.
-    Answer(NodeId, CallAnswer),
-    /// Run a call.
-    Run(Box<RunRequest>),
-    /// Abort a run; its result is still awaited.
-    Abort(RunId),
-    /// Claim a key in the store; the number of tries before this one chooses the holder.
-    Claim(KeyClaim, u32),
-    /// Count a call that was refused here.
-    Refused(ErrorKind),
-}
-
-/// Settings of an owner.
-#[derive(Clone, Debug)]
-pub struct OwnerSetup {
-    /// Service of the backend server; empty when none is announced.
-    pub service: String,
-    /// Slots announced.
-    pub slots: u32,
-    /// Calls that may wait.
-    pub queue_limit: usize,
-    /// Slots that only the most urgent rank may take.
-    pub reserved_slots: u32,
-    /// Share of each level.
-    pub shares: [f64; RankLevel::COUNT],
-    /// Most urgent level in use.
-    pub most_urgent: RankLevel,
-    /// Time for which the store keeps claims.
-    pub key_window: Duration,
-}
 
 /// State of a target's owner.
 #[derive(Debug)]
 pub struct OwnerMachine {
-    node: NodeId,
-    boot: u64,
-    setup: OwnerSetup,
-    limiter: SlotLimiter,
-    queue: RankQueue,
-    calls: HashMap<CallId, OwnerCall>,
-    runs: HashMap<RunId, CallId>,
-    run_deadlines: BTreeSet<(Instant, RunId)>,
+    pub(crate) node: NodeId,
+    pub(crate) boot: u64,
+    pub(crate) setup: OwnerSetup,
+    pub(crate) limiter: SlotLimiter,
+    pub(crate) queue: RankQueue,
+    pub(crate) calls: HashMap<CallId, OwnerCall>,
+    pub(crate) runs: HashMap<RunId, CallId>,
+    pub(crate) run_deadlines: BTreeSet<(Instant, RunId)>,
     /// Calls whose claim is on its way, by the time of the next try.
-    claim_deadlines: BTreeSet<(Instant, CallId)>,
-    claim_tries: HashMap<CallId, u32>,
-    memory: BTreeSet<(Instant, CallId)>,
-    bars: HashMap<CallId, Instant>,
-    bar_times: BTreeSet<(Instant, CallId)>,
-    ledger: KeyLedger,
-    next_run: u64,
-    next_nonce: u64,
-    draining: bool,
-    actions: Vec<OwnerAction>,
+    pub(crate) claim_deadlines: BTreeSet<(Instant, CallId)>,
+    pub(crate) claim_tries: HashMap<CallId, u32>,
+    pub(crate) memory: BTreeSet<(Instant, CallId)>,
+    pub(crate) bars: HashMap<CallId, Instant>,
+    pub(crate) bar_times: BTreeSet<(Instant, CallId)>,
+    pub(crate) ledger: KeyLedger,
+    pub(crate) next_run: u64,
+    pub(crate) next_nonce: u64,
+    pub(crate) draining: bool,
+    pub(crate) actions: Vec<OwnerAction>,
 }
 
 impl OwnerMachine {
@@ -286,60 +236,6 @@
         }
     }
 
-    /// Takes the claim that stands on a key, `None` when the store gave no answer.
-    pub fn on_claim(&mut self, key: &str, standing: Option<&KeyClaim>, now: Instant) {
-        let Some((KeyState::Claiming(id), fingerprint)) = self.ledger.get(key) else {
-            return;
-        };
-        let id = *id;
-        let nonce = self.ledger.nonce(key).unwrap_or_default();
-        let Some(claim) = standing else {
-            self.on_claim_failed(id, key, now);
-            return;
-        };
-        self.drop_claim_deadline(id);
-        let own = claim.node == self.node.get() && claim.boot == self.boot;
-        if own && claim.nonce == nonce {
-            self.ledger.set(key, KeyState::Held(id));
-            self.enqueue(id, now);
-            self.start_runs(now);
-            return;
-        }
-        self.ledger.remove(key);
-        if claim.fingerprint != fingerprint {
-            self.refuse(id, ErrorKind::KeyReused, now);
-        } else if claim.node == self.node.get() {
-            // This host claimed it in an earlier boot, or so long ago that it is forgotten.
-            self.refuse(id, ErrorKind::KeyUnknown, now);
-        } else {
-            let redirect = RedirectAnswer {
-                node: claim.node,
-                boot: claim.boot,
-            };
-            self.finish(id, &CallOutcome::Redirect(redirect), now);
-        }
-    }
-
-    /// Takes the result of a run.
-    pub fn on_result(&mut self, run: RunId, result: BackendResult, now: Instant) {
-        let Some(id) = self.runs.remove(&run) else {
-            return;
-        };
-        self.run_deadlines.retain(|(_, other)| *other != run);
-        match result {
-            BackendResult::Answered { .. } => self.limiter.finish(),
-            BackendResult::Shed => self.limiter.shed(now),
-            _ => self.limiter.release(),
-        }
-        let key = self.calls.get(&id).and_then(OwnerCall::ledger_key);
-        let outcome = result.into_outcome();
-        if let Some(key) = key {
-            self.ledger.set(&key, key_state_after(&outcome));
-        }
-        self.finish(id, &outcome, now);
-        self.start_runs(now);
-    }
-
     /// Acts on the time.
     pub fn on_tick(&mut self, now: Instant) {
         for id in self.queue.take_expired(now) {
@@ -386,161 +282,8 @@
         (dispatch.service != self.setup.service).then_some(ErrorKind::ServiceMismatch)
     }
 
-    fn admit_keyed(&mut self, id: CallId, key: &str, now: Instant) {
-        let Some(call) = self.calls.get(&id) else {
-            return;
-        };
-        let fingerprint = call.dispatch.fingerprint;
-        match self.ledger.get(key) {
-            Some((_, other)) if other != fingerprint => {
-                self.refuse(id, ErrorKind::KeyReused, now);
-            }
-            Some((KeyState::Answered(answer), _)) => {
-                let mut answer = answer.clone();
-                answer.replayed = true;
-                self.finish(id, &CallOutcome::Served(answer), now);
-            }
-            Some((KeyState::AnswerLost, _)) => self.refuse(id, ErrorKind::KeyUnknown, now),
-            Some((KeyState::Claiming(first) | KeyState::Held(first), _)) => {
-                let first = *first;
-                self.attach(id, first);
-            }
-            Some((KeyState::NotRun | KeyState::Unclaimed, _)) if self.draining => {
-                self.refuse(id, ErrorKind::NodeStopping, now);
-            }
-            Some((KeyState::NotRun, _)) => {
-                self.ledger.set(key, KeyState::Held(id));
-                self.enqueue(id, now);
-            }
-            None | Some((KeyState::Unclaimed, _)) => self.claim_key(id, key, fingerprint, now),
-        }
-    }
-
-    fn claim_key(&mut self, id: CallId, key: &str, fingerprint: u64, now: Instant) {
-        let nonce = self.ledger.nonce(key).unwrap_or(self.next_nonce);
-        self.next_nonce = self.next_nonce.max(nonce + 1);
-        let expires = now + self.setup.key_window * KEY_MEMORY_FACTOR;
-        self.ledger.claim(key, fingerprint, nonce, id, expires);
-        if let Some(call) = self.calls.get_mut(&id) {
-            call.state = OwnerState::Claiming;
-        }
-        self.claim_tries.insert(id, 0);
-        self.try_claim(id, key, now);
-    }
-
-    /// Sends a claim; claiming again under the same number changes nothing.
-    fn try_claim(&mut self, id: CallId, key: &str, now: Instant) {
-        let (Some(call), Some(tries)) = (self.calls.get(&id), self.claim_tries.get_mut(&id)) else {
-            return;
-        };
-        let claim = KeyClaim {
-            key: key.to_owned(),
-            fingerprint: call.dispatch.fingerprint,
-            node: self.node.get(),
-            boot: self.boot,
-            nonce: self.ledger.nonce(key).unwrap_or_default(),
-        };
-        self.claim_deadlines
-            .insert((call.deadline.min(now + CLAIM_RETRY), id));
-        self.actions.push(OwnerAction::Claim(claim, *tries));
-        *tries += 1;
-    }
-
-    fn attach(&mut self, id: CallId, first: CallId) {
-        if let Some(call) = self.calls.get_mut(&id) {
-            call.state = OwnerState::Attached;
-        }
-        if let Some(call) = self.calls.get_mut(&first) {
-            call.attached.push(id);
-        }
-    }
-
-    fn enqueue(&mut self, id: CallId, now: Instant) {
-        let Some(call) = self.calls.get_mut(&id) else {
-            return;
-        };
-        call.state = OwnerState::Queued;
-        let queued = QueuedCall {
-            id,
-            level: RankLevel::new(call.dispatch.rank.min(7) as u8),
-            flow: flow_of(&call.dispatch),
-            deadline: call.deadline,
-        };
-        if self.queue.is_empty() && self.may_run(queued.level) {
-            self.run(id, now);
-            return;
-        }
-        match self.queue.push(queued) {
-            PushOutcome::Accepted => {}
-            PushOutcome::Evicted(victim) => self.refuse(victim, ErrorKind::QueueFull, now),
-            PushOutcome::Full => self.refuse(id, ErrorKind::QueueFull, now),
-        }
-    }
-
-    /// Least urgent level that may take a slot now, if any slot is free.
-    ///
-    /// The reserved slots stay free for the most urgent level as long as none of it waits.
-    /// Once it waits, the queue's shares decide: a flood of the most urgent must not live
-    /// off the slots reserved for it.
-    fn runnable_level(&self) -> Option<RankLevel> {
-        let free = self.limiter.free();
-        let reserved = self
-            .setup
-            .reserved_slots
-            .min(self.limiter.allowed() / RESERVED_DIVISOR);
-        if free == 0 {
-            None
-        } else if free > reserved || self.queue.waits_at(self.setup.most_urgent) {
-            Some(RankLevel::LEAST_URGENT)
-        } else {
-            Some(self.setup.most_urgent)
-        }
-    }
-
-    fn may_run(&self, level: RankLevel) -> bool {
-        self.runnable_level().is_some_and(|least| level <= least)
-    }
-
-    fn start_runs(&mut self, now: Instant) {
-        while let Some(least) = self.runnable_level() {
-            let Some(id) = self.queue.pop(least) else {
-                break;
-            };
-            if self.calls.get(&id).is_some_and(|call| call.deadline <= now) {
-                self.refuse(id, ErrorKind::DeadlineQueued, now);
-            } else {
-                self.run(id, now);
-            }
-        }
-    }
-
-    fn run(&mut self, id: CallId, now: Instant) {
-        let Some(call) = self.calls.get_mut(&id) else {
-            return;
-        };
-        let run = RunId(self.next_run);
-        self.next_run += 1;
-        call.state = OwnerState::Running(run);
-        let grace = if call.dispatch.key.is_empty() {
-            Duration::ZERO
-        } else {
-            KEYED_GRACE
-        };
-        let deadline = call.deadline.max(now) + grace;
-        let mut dispatch = call.dispatch.clone();
-        dispatch.remaining_ms = (call.deadline.saturating_duration_since(now)).as_millis() as u32;
-        self.limiter.start();
-        self.runs.insert(run, id);
-        self.run_deadlines.insert((deadline, run));
-        self.actions.push(OwnerAction::Run(Box::new(RunRequest {
-            run,
-            dispatch,
-            deadline,
-        })));
-    }
-
     /// Refuses a call; what did not run leaves its key free to run here later.
-    fn refuse(&mut self, id: CallId, kind: ErrorKind, now: Instant) {
+    pub(crate) fn refuse(&mut self, id: CallId, kind: ErrorKind, now: Instant) {
         self.actions.push(OwnerAction::Refused(kind));
         let key = self.calls.get(&id).and_then(OwnerCall::ledger_key);
         if let Some(key) = key {
@@ -555,7 +298,7 @@
         self.finish(id, &CallOutcome::refused(kind), now);
     }
 
-    fn finish(&mut self, id: CallId, outcome: &CallOutcome, now: Instant) {
+    pub(crate) fn finish(&mut self, id: CallId, outcome: &CallOutcome, now: Instant) {
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -587,50 +330,6 @@
         }
     }
 
-    fn drop_claim_deadline(&mut self, id: CallId) {
-        self.claim_deadlines.retain(|(_, other)| *other != id);
-        self.claim_tries.remove(&id);
-    }
-
-    fn expire_claims(&mut self, now: Instant) {
-        while let Some((until, id)) = self.claim_deadlines.first().copied() {
-            if until > now {
-                break;
-            }
-            self.claim_deadlines.pop_first();
-            let Some(call) = self.calls.get(&id) else {
-                continue;
-            };
-            let Some(key) = call.ledger_key() else {
-                continue;
-            };
-            let tries = self.claim_tries.get(&id).copied().unwrap_or(0);
-            if tries < CLAIM_TRIES && call.deadline > now {
-                self.try_claim(id, &key, now);
-            } else {
-                self.fail_claim(id, &key, now);
-            }
-        }
-    }
-
-    /// A holder couldn't record a claim: another one may, before the call is refused.
-    fn on_claim_failed(&mut self, id: CallId, key: &str, now: Instant) {
-        if self.claim_tries.get(&id).copied().unwrap_or(0) >= CLAIM_TRIES {
-            self.fail_claim(id, key, now);
-            return;
-        }
-        self.claim_deadlines.retain(|(_, other)| *other != id);
-        let pause = now + CLAIM_RETRY / 4;
-        self.claim_deadlines.insert((pause, id));
-    }
-
-    /// Gives a claim up: it may stand in the store, but nothing has run.
-    fn fail_claim(&mut self, id: CallId, key: &str, now: Instant) {
-        self.drop_claim_deadline(id);
-        self.ledger.set(key, KeyState::Unclaimed);
-        self.refuse(id, ErrorKind::ClaimUnavailable, now);
-    }
-
     fn expire_memory(&mut self, now: Instant) {
         while let Some((time, id)) = self.memory.first().copied() {
             if time > now {
@@ -659,22 +358,6 @@
     }
 }
 
-/// Calls of one kind from one caller.
-fn flow_of(dispatch: &CallDispatch) -> u64 {
-    xxh3_64_with_seed(dispatch.route.as_bytes(), dispatch.caller)
-}
-
-fn key_state_after(outcome: &CallOutcome) -> KeyState {
-    match outcome {
-        CallOutcome::Served(answer) => KeyState::Answered(answer.clone()),
-        CallOutcome::Refused(refused) => match ErrorKind::from_code(refused.kind) {
-            Some(kind) if kind.rule().retry_safe => KeyState::NotRun,
-            _ => KeyState::AnswerLost,
-        },
-        CallOutcome::Redirect(_) | CallOutcome::Pending(_) => KeyState::AnswerLost,
-    }
-}
-
 fn replayed(outcome: CallOutcome) -> CallOutcome {
     match outcome {
         CallOutcome::Served(mut answer) => {
--- /dev/null
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -0,0 +1,149 @@
+//! Waiting calls and runs at the owner.
+
+use std::time::Duration;
+
+use sequoiagw_protocol::CallDispatch;
+use sequoiagw_protocol::CallOutcome;
+use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::RankLevel;
+use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::owner_call::OwnerCall;
+use crate::owner_call::OwnerState;
+use crate::BackendResult;
+use crate::CallId;
+use crate::KeyState;
+use crate::OwnerAction;
+use crate::OwnerMachine;
+use crate::PushOutcome;
+use crate::QueuedCall;
+use crate::RunId;
+use crate::RunRequest;
+
+/// Time for which a keyed call may run on past its deadline, so that a retry finds the answer.
+const KEYED_GRACE: Duration = Duration::from_secs(5);
+/// Part of the slots that may be reserved at most.
+const RESERVED_DIVISOR: u32 = 4;
+
+impl OwnerMachine {
+    pub(crate) fn enqueue(&mut self, id: CallId, now: Instant) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        call.state = OwnerState::Queued;
+        let queued = QueuedCall {
+            id,
+            level: RankLevel::new(call.dispatch.rank.min(7) as u8),
+            flow: flow_of(&call.dispatch),
+            deadline: call.deadline,
+        };
+        if self.queue.is_empty() && self.may_run(queued.level) {
+            self.run(id, now);
+            return;
+        }
+        match self.queue.push(queued) {
+            PushOutcome::Accepted => {}
+            PushOutcome::Evicted(victim) => self.refuse(victim, ErrorKind::QueueFull, now),
+            PushOutcome::Full => self.refuse(id, ErrorKind::QueueFull, now),
+        }
+    }
+
+    /// Least urgent level that may take a slot now, if any slot is free.
+    ///
+    /// The reserved slots stay free for the most urgent level as long as none of it waits.
+    /// Once it waits, the queue's shares decide: a flood of the most urgent must not live
+    /// off the slots reserved for it.
+    pub(crate) fn runnable_level(&self) -> Option<RankLevel> {
+        let free = self.limiter.free();
+        let reserved = self
+            .setup
+            .reserved_slots
+            .min(self.limiter.allowed() / RESERVED_DIVISOR);
+        if free == 0 {
+            None
+        } else if free > reserved || self.queue.waits_at(self.setup.most_urgent) {
+            Some(RankLevel::LEAST_URGENT)
+        } else {
+            Some(self.setup.most_urgent)
+        }
+    }
+
+    pub(crate) fn may_run(&self, level: RankLevel) -> bool {
+        self.runnable_level().is_some_and(|least| level <= least)
+    }
+
+    pub(crate) fn start_runs(&mut self, now: Instant) {
+        while let Some(least) = self.runnable_level() {
+            let Some(id) = self.queue.pop(least) else {
+                break;
+            };
+            if self.calls.get(&id).is_some_and(|call| call.deadline <= now) {
+                self.refuse(id, ErrorKind::DeadlineQueued, now);
+            } else {
+                self.run(id, now);
+            }
+        }
+    }
+
+    pub(crate) fn run(&mut self, id: CallId, now: Instant) {
+        let Some(call) = self.calls.get_mut(&id) else {
+            return;
+        };
+        let run = RunId(self.next_run);
+        self.next_run += 1;
+        call.state = OwnerState::Running(run);
+        let grace = if call.dispatch.key.is_empty() {
+            Duration::ZERO
+        } else {
+            KEYED_GRACE
+        };
+        let deadline = call.deadline.max(now) + grace;
+        let mut dispatch = call.dispatch.clone();
+        dispatch.remaining_ms = (call.deadline.saturating_duration_since(now)).as_millis() as u32;
+        self.limiter.start();
+        self.runs.insert(run, id);
+        self.run_deadlines.insert((deadline, run));
+        self.actions.push(OwnerAction::Run(Box::new(RunRequest {
+            run,
+            dispatch,
+            deadline,
+        })));
+    }
+
+    /// Takes the result of a run.
+    pub fn on_result(&mut self, run: RunId, result: BackendResult, now: Instant) {
+        let Some(id) = self.runs.remove(&run) else {
+            return;
+        };
+        self.run_deadlines.retain(|(_, other)| *other != run);
+        match result {
+            BackendResult::Answered { .. } => self.limiter.finish(),
+            BackendResult::Shed => self.limiter.shed(now),
+            _ => self.limiter.release(),
+        }
+        let key = self.calls.get(&id).and_then(OwnerCall::ledger_key);
+        let outcome = result.into_outcome();
+        if let Some(key) = key {
+            self.ledger.set(&key, key_state_after(&outcome));
+        }
+        self.finish(id, &outcome, now);
+        self.start_runs(now);
+    }
+}
+
+/// Calls of one kind from one caller.
+fn flow_of(dispatch: &CallDispatch) -> u64 {
+    xxh3_64_with_seed(dispatch.route.as_bytes(), dispatch.caller)
+}
+
+fn key_state_after(outcome: &CallOutcome) -> KeyState {
+    match outcome {
+        CallOutcome::Served(answer) => KeyState::Answered(answer.clone()),
+        CallOutcome::Refused(refused) => match ErrorKind::from_code(refused.kind) {
+            Some(kind) if kind.rule().retry_safe => KeyState::NotRun,
+            _ => KeyState::AnswerLost,
+        },
+        CallOutcome::Redirect(_) | CallOutcome::Pending(_) => KeyState::AnswerLost,
+    }
+}
