Prove the path over killed, frozen and leaving processes; mark expired exceptions; random bytes at the edges

Cause: kills, freezes and leaves were proved on the paused clock only; an exception's expiry was promised to be reported and was only shown. Change: a test of the program as separate processes (store, three nodes, three backend servers): a key replayed across nodes, SIGKILL and restart, SIGSTOP and SIGCONT, a change during it, SIGTERM that ends with 0. exception list marks expired ones; status shows the age of the version in force. Random bytes, alone and after a sound beginning, at callers' and peers' ports.

--- a/crates/sequoiagw-cli/src/commands/exception_list.rs
+++ b/crates/sequoiagw-cli/src/commands/exception_list.rs
@@ -1,7 +1,10 @@
 //! `sequoiagw exception list`
 
+use std::time::SystemTime;
+
 use clap::ArgMatches;
 use clap::Command;
+use sequoiagw_config::ConfigException;
 
 use crate::admin_client::AdminClient;
 use crate::cli_error::CliError;
@@ -18,7 +21,7 @@
 
 fn build() -> Command {
     Command::new(ENTRY.name)
-        .about("Print the exceptions with their reasons")
+        .about("Print the exceptions with their reasons, and which are past their time")
         .after_help("Example: sequoiagw exception list")
         .arg(AdminClient::arg())
         .arg(OutputFormat::arg())
@@ -31,19 +34,25 @@
         return Ok(());
     }
     let mut table = table_with(&["name", "setting", "value", "scope", "expires", "reason"]);
+    let now = SystemTime::now();
     for (name, exception) in &current.config.exceptions {
         table.add_row([
             name.clone(),
             exception.setting.to_string(),
             exception.value.to_string(),
             exception.scope.to_string(),
-            exception
-                .expires
-                .clone()
-                .unwrap_or_else(|| "never".to_owned()),
+            expiry_of(exception, now),
             exception.reason.clone(),
         ]);
     }
     println!("{table}");
     Ok(())
 }
+
+fn expiry_of(exception: &ConfigException, now: SystemTime) -> String {
+    match &exception.expires {
+        Some(expires) if exception.is_expired(now) => format!("{expires} (expired)"),
+        Some(expires) => expires.clone(),
+        None => "never".to_owned(),
+    }
+}
--- a/crates/sequoiagw-cli/src/commands/status.rs
+++ b/crates/sequoiagw-cli/src/commands/status.rs
@@ -1,5 +1,9 @@
 //! `sequoiagw status`
 
+use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
 use clap::ArgMatches;
 use clap::Command;
 use sequoiagw_node::FleetStatus;
@@ -49,11 +53,24 @@
     };
     let [running, slots, waiting] = status.load;
     println!(
-        "node {} in {}: {state}, version {}, {running} of {slots} slots in use, {waiting} waiting",
-        status.name, status.data_centre, status.version
+        "node {} in {}: {state}, version {} accepted {} ago, {running} of {slots} slots in use, \
+         {waiting} waiting",
+        status.name,
+        status.data_centre,
+        status.version,
+        age_of(status.accepted_ms)
     );
 }
 
+/// Time since a version was accepted, in whole seconds.
+fn age_of(accepted_ms: u64) -> String {
+    let accepted = UNIX_EPOCH + Duration::from_millis(accepted_ms);
+    let age = SystemTime::now()
+        .duration_since(accepted)
+        .unwrap_or_default();
+    format!("{} s", age.as_secs())
+}
+
 fn print_fleet(fleet: &FleetStatus) {
     let mut table = table_with(&[
         "data centre",
--- a/crates/sequoiagw-config/src/config_exception.rs
+++ b/crates/sequoiagw-config/src/config_exception.rs
@@ -2,6 +2,7 @@
 
 use std::fmt::Display;
 use std::fmt::Formatter;
+use std::time::SystemTime;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -84,7 +85,17 @@
     pub scope: ExceptionScope,
     /// Why; never empty.
     pub reason: String,
-    /// Time after which it should be removed, RFC 3339; it is reported from then on.
+    /// Time after which it should be removed, RFC 3339; it is listed as expired from then on.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub expires: Option<String>,
 }
+
+impl ConfigException {
+    /// Whether its time has passed. It stays in force until an operator removes it.
+    pub fn is_expired(&self, now: SystemTime) -> bool {
+        let expires = self.expires.as_deref();
+        expires
+            .and_then(|expires| humantime::parse_rfc3339_weak(expires).ok())
+            .is_some_and(|expires| expires <= now)
+    }
+}
--- a/crates/sequoiagw-config/tests/mesh_config.rs
+++ b/crates/sequoiagw-config/tests/mesh_config.rs
@@ -228,3 +228,20 @@
         let _ = AcceptedConfig::from_json(text);
     });
 }
+
+#[test]
+fn an_exception_past_its_time_is_told_apart_and_stays_in_force() {
+    let source = SAMPLE.replace(
+        "reason = \"the press takes its time\"",
+        "reason = \"the press takes its time\"\nexpires = \"2020-01-31T00:00:00Z\"",
+    );
+    let config = MeshConfig::from_toml(&source).expect("valid");
+    assert!(config.exceptions["slow-press"].is_expired(std::time::SystemTime::now()));
+    let place = ScopeQuery {
+        service: Some("press"),
+        ..ScopeQuery::default()
+    };
+    let resolved = resolve_setting(&config, SettingName::Timeout, &place);
+    assert!(matches!(resolved.origin, SettingOrigin::Exception { .. }));
+    assert!(!sample().exceptions["slow-press"].is_expired(std::time::SystemTime::now()));
+}
--- a/crates/sequoiagw-node/tests/edges.rs
+++ b/crates/sequoiagw-node/tests/edges.rs
@@ -3,6 +3,7 @@
 mod support;
 
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -398,3 +399,43 @@
         let _ = NodeSettings::from_toml(&format!("{SETTINGS}\n{text}"));
     });
 }
+
+/// Sends bytes and waits until the other end has closed or stays quiet.
+async fn poke(address: SocketAddr, bytes: &[u8]) {
+    let mut stream = TcpStream::connect(address).await.expect("connected");
+    let _ = stream.write_all(bytes).await;
+    let _ = stream.shutdown().await;
+    let mut reply = Vec::new();
+    let _ = timeout(Duration::from_millis(100), stream.read_to_end(&mut reply)).await;
+}
+
+#[test]
+fn arbitrary_bytes_at_the_edges_harm_no_one_else() {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("runtime");
+    let tasks = LocalSet::new();
+    let node = tasks.block_on(&runtime, ready_node());
+    let drive = AssertUnwindSafe(|bytes: &[u8]| {
+        tasks.block_on(&runtime, async {
+            poke(node.callers, bytes).await;
+            poke(node.peers, bytes).await;
+        });
+    });
+    bolero::check!()
+        .with_type::<(u8, Vec<u8>)>()
+        .with_iterations(60)
+        .for_each(|(start, bytes)| {
+            // Some cases go wrong at once, others after a sound beginning.
+            let sound: &[u8] = match start % 4 {
+                0 => b"",
+                1 => b"POST /press/dies HTTP/1.1\r\nhost: a\r\n",
+                2 => b"POST /press/dies HTTP/1.1\r\nhost: a\r\ntransfer-encoding: chunked\r\n\r\n",
+                _ => b"POST /press/dies HTTP/1.1\r\nhost: a\r\ncontent-length: 1000\r\n\r\n",
+            };
+            let drive = &drive;
+            drive(&[sound, bytes].concat());
+        });
+    tasks.block_on(&runtime, assert_serves(&node));
+}
--- /dev/null
+++ b/tests/processes.rs
@@ -0,0 +1,242 @@
+//! The program as separate processes: killed, frozen and told to leave.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+/// Time for anything to happen; far more than it takes.
+const PATIENCE: Duration = Duration::from_secs(40);
+const TOKEN: &str = "a-token-of-16-characters";
+
+/// Addresses of one node: callers, peers, administration, backend server.
+struct NodePorts {
+    callers: SocketAddr,
+    peers: SocketAddr,
+    admin: SocketAddr,
+    backend: SocketAddr,
+}
+
+/// Processes that end with the test.
+struct ProcessFleet {
+    children: Vec<Child>,
+    nodes: Vec<NodePorts>,
+    settings: Vec<PathBuf>,
+}
+
+impl Drop for ProcessFleet {
+    fn drop(&mut self) {
+        for child in &mut self.children {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+fn free_addresses(count: usize) -> Vec<SocketAddr> {
+    let first = 12_000 + (std::process::id() % 6_000) as u16;
+    let candidates = (first..20_000).map(|port| SocketAddr::from(([127, 0, 0, 1], port)));
+    let free = candidates.filter(|address| TcpListener::bind(address).is_ok());
+    free.take(count).collect()
+}
+
+fn program() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_sequoiagw"));
+    command
+        .stdin(Stdio::null())
+        .stdout(Stdio::null())
+        .stderr(Stdio::null());
+    command
+}
+
+fn spawn(arguments: &[&str]) -> Child {
+    program().args(arguments).spawn().expect("started")
+}
+
+impl ProcessFleet {
+    /// Starts a store, three nodes in two data centres, and their backend servers.
+    fn start() -> Self {
+        let addresses = free_addresses(13);
+        let store = addresses[12];
+        let nodes: Vec<NodePorts> = addresses[..12]
+            .chunks(4)
+            .map(|own| NodePorts {
+                callers: own[0],
+                peers: own[1],
+                admin: own[2],
+                backend: own[3],
+            })
+            .collect();
+        let mut fleet = Self {
+            children: Vec::new(),
+            nodes,
+            settings: Vec::new(),
+        };
+        fleet.children.push(spawn(&[
+            "standin",
+            "store",
+            "--address",
+            &store.to_string(),
+        ]));
+        for index in 0..3 {
+            let file = fleet.write_settings(index, store);
+            fleet.settings.push(file);
+            fleet.start_node(index);
+        }
+        for index in 0..3 {
+            let node = &fleet.nodes[index];
+            let child = spawn(&[
+                "standin",
+                "backend",
+                "--service",
+                "press",
+                "--address",
+                &node.backend.to_string(),
+                "--node",
+                &format!("http://{}", node.admin),
+            ]);
+            fleet.children.push(child);
+        }
+        fleet
+    }
+
+    fn write_settings(&self, index: usize, store: SocketAddr) -> PathBuf {
+        let node = &self.nodes[index];
+        let centre = if index == 2 { "south" } else { "north" };
+        let settings = format!(
+            "name = \"node-{index}\"\ndata_centre = \"{centre}\"\npeer_address = \"{}\"\n\
+             caller_address = \"{}\"\nadmin_address = \"{}\"\nadmin_token = \"{TOKEN}\"\n\
+             seeds = [\"{}\", \"{}\"]\nstore_endpoints = [\"http://{store}\"]\n",
+            node.peers, node.callers, node.admin, self.nodes[0].peers, self.nodes[1].peers
+        );
+        let file = format!("sequoiagw-test-{}-{index}.toml", std::process::id());
+        let file = std::env::temp_dir().join(file);
+        std::fs::write(&file, settings).expect("written");
+        file
+    }
+
+    fn start_node(&mut self, index: usize) {
+        let file = self.settings[index].display().to_string();
+        let child = spawn(&["node", "--settings", &file]);
+        let place = index + 1;
+        if place < self.children.len() {
+            self.children[place] = child;
+        } else {
+            self.children.push(child);
+        }
+    }
+
+    fn signal(&self, index: usize, name: &str) {
+        let process = self.children[index + 1].id().to_string();
+        let sent = Command::new("kill")
+            .args([name, &process])
+            .status()
+            .expect("sent");
+        assert!(sent.success());
+    }
+
+    /// Runs a command against the first node until it succeeds.
+    fn run_until_done(&self, arguments: &[&str]) {
+        let started = Instant::now();
+        loop {
+            let status = program()
+                .args(arguments)
+                .env("SEQUOIAGW_ADMIN", format!("http://{}", self.nodes[0].admin))
+                .env("SEQUOIAGW_TOKEN", TOKEN)
+                .status()
+                .expect("run");
+            if status.success() {
+                return;
+            }
+            assert!(started.elapsed() < PATIENCE, "never done: {arguments:?}");
+            std::thread::sleep(Duration::from_millis(200));
+        }
+    }
+
+    /// Calls through a node; returns status, the truth header and whether it was replayed.
+    fn call(&self, index: usize, key: &str) -> Option<(u16, String, bool)> {
+        let url = format!("http://{}/press/dies/7", self.nodes[index].callers);
+        let response = ureq::post(&url)
+            .config()
+            .http_status_as_error(false)
+            .timeout_global(Some(Duration::from_secs(5)))
+            .build()
+            .header("idempotency-key", key)
+            .send("die")
+            .ok()?;
+        let header = |name: &str| {
+            response
+                .headers()
+                .get(name)
+                .and_then(|value| value.to_str().ok())
+        };
+        let ran = header("sequoiagw-ran").unwrap_or("none").to_owned();
+        Some((
+            response.status().as_u16(),
+            ran,
+            header("sequoiagw-replayed").is_some(),
+        ))
+    }
+
+    /// Calls with fresh keys until one is served.
+    fn call_until_served(&self, index: usize, name: &str) -> String {
+        let started = Instant::now();
+        for number in 0.. {
+            let key = format!("{name}-{number}");
+            if self
+                .call(index, &key)
+                .is_some_and(|(status, _, _)| status == 200)
+            {
+                return key;
+            }
+            assert!(started.elapsed() < PATIENCE, "never served: {name}");
+            std::thread::sleep(Duration::from_millis(100));
+        }
+        unreachable!("the loop has no end")
+    }
+}
+
+#[test]
+fn real_processes_serve_through_a_kill_a_freeze_and_a_leave() {
+    let mut fleet = ProcessFleet::start();
+    let mesh = concat!(env!("CARGO_MANIFEST_DIR"), "/samples/mesh.toml");
+    fleet.run_until_done(&["config", "apply", mesh, "--wait"]);
+
+    let key = fleet.call_until_served(0, "whole");
+    let (status, ran, replayed) = fleet.call(2, &key).expect("answered");
+    assert_eq!((status, ran.as_str(), replayed), (200, "yes", true));
+
+    fleet.signal(1, "-KILL");
+    fleet.call_until_served(0, "after-kill");
+    fleet.start_node(1);
+    fleet.call_until_served(1, "after-restart");
+
+    fleet.signal(2, "-STOP");
+    fleet.call_until_served(0, "during-freeze");
+    fleet.signal(2, "-CONT");
+    fleet.call_until_served(2, "after-freeze");
+
+    fleet.run_until_done(&[
+        "exception",
+        "add",
+        "slow",
+        "--setting",
+        "timeout",
+        "--value",
+        "3s",
+        "--service",
+        "press",
+        "--reason",
+        "test",
+        "--wait",
+    ]);
+
+    fleet.signal(1, "-TERM");
+    let status = fleet.children[2].wait().expect("ended");
+    assert!(status.success(), "a leave ends with 0: {status}");
+    fleet.call_until_served(0, "after-leave");
+}
