--- a/crates/sequoiagw-node/src/http_edge.rs
+++ b/crates/sequoiagw-node/src/http_edge.rs
@@ -40,6 +40,7 @@
 use tracing::warn;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::call_spec;
 use crate::http_headers::passed_on;
 use crate::http_headers::priority_level;
 use crate::http_headers::CALLER_HEADER;
@@ -213,7 +214,7 @@
         let route = snapshot
             .find_route(request.method().as_str(), request.uri().path())
             .ok_or(ErrorKind::RouteUnknown)?;
-        let spec = call_spec(route, &request)?;
+        let spec = requested_spec(route, &request)?;
         let call_request = read_request(request, route, request_id, peer).await?;
         Ok((spec, call_request))
     }
@@ -234,30 +235,24 @@
     }
 }
 
-fn call_spec(route: &RouteMatch, request: &Request<Incoming>) -> Result<CallSpec, EdgeRefusal> {
-    let mut timeout = route.limits.timeout;
+/// How a request is to be treated: as its route says, within what its caller asks for.
+fn requested_spec(
+    route: &RouteMatch,
+    request: &Request<Incoming>,
+) -> Result<CallSpec, EdgeRefusal> {
+    let mut spec = call_spec(route);
     if let Some(text) = header(request, DEADLINE_HEADER) {
         let asked: u64 = text
             .parse()
             .ok()
             .filter(|asked| (1..=DEADLINE_LIMIT_MS).contains(asked))
             .ok_or_else(|| invalid("x-request-timeout-ms takes 1 to 600000 milliseconds"))?;
-        timeout = timeout.min(Duration::from_millis(asked));
+        spec.timeout = spec.timeout.min(Duration::from_millis(asked));
     }
-    let mut level = route.level;
     if let Some(asked) = header(request, PRIORITY_HEADER).and_then(priority_level) {
-        level = level.lowered_to(asked);
+        spec.level = spec.level.lowered_to(asked);
     }
-    Ok(CallSpec {
-        service: route.service.clone(),
-        route: route.name.clone(),
-        level,
-        idempotent: route.idempotent,
-        retries: route.limits.retries,
-        retry_budget: route.limits.retry_budget,
-        spill_load: route.limits.spill_load,
-        timeout,
-    })
+    Ok(spec)
 }
 
 async fn read_request(
--- a/crates/sequoiagw-node/src/lib.rs
+++ b/crates/sequoiagw-node/src/lib.rs
@@ -24,6 +24,7 @@
 mod node_settings;
 mod node_status;
 mod problem_body;
+mod route_spec;
 mod settings_error;
 mod tcp_links;
 
@@ -54,5 +55,6 @@
 pub use node_status::MemberView;
 pub use node_status::NodeStatus;
 pub use problem_body::ProblemBody;
+pub use route_spec::call_spec;
 pub use settings_error::SettingsError;
 pub use tcp_links::TcpLinks;
--- /dev/null
+++ b/crates/sequoiagw-node/src/route_spec.rs
@@ -0,0 +1,18 @@
+//! How calls of a route are to be treated.
+
+use sequoiagw_config::RouteMatch;
+use sequoiagw_policy::CallSpec;
+
+/// Builds what a route says, before a caller asks for less.
+pub fn call_spec(route: &RouteMatch) -> CallSpec {
+    CallSpec {
+        service: route.service.clone(),
+        route: route.name.clone(),
+        level: route.level,
+        idempotent: route.idempotent,
+        retries: route.limits.retries,
+        retry_budget: route.limits.retry_budget,
+        spill_load: route.limits.spill_load,
+        timeout: route.limits.timeout,
+    }
+}
--- a/crates/sequoiagw-standin/src/load_driver.rs
+++ b/crates/sequoiagw-standin/src/load_driver.rs
@@ -9,10 +9,10 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sequoiagw_node::call_spec;
 use sequoiagw_node::NodeCore;
 use sequoiagw_node::NodeHandle;
 use sequoiagw_policy::CallRequest;
-use sequoiagw_policy::CallSpec;
 use sequoiagw_policy::CallerReply;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::RanState;
@@ -175,16 +175,7 @@
         let entry = self.choose_entry(rng)?;
         let snapshot = entry.read(|core| core.snapshot().cloned())?;
         let route = snapshot.route(&plan.stream.route)?;
-        let spec = CallSpec {
-            service: route.service.clone(),
-            route: route.name.clone(),
-            level: route.level,
-            idempotent: route.idempotent,
-            retries: route.limits.retries,
-            retry_budget: route.limits.retry_budget,
-            spill_load: route.limits.spill_load,
-            timeout: route.limits.timeout,
-        };
+        let spec = call_spec(route);
         let patience = spec.timeout + CALLER_PATIENCE;
         let request = CallRequest {
             method: "POST".to_owned(),
--- a/crates/sequoiagw-store/src/etcd_store.rs
+++ b/crates/sequoiagw-store/src/etcd_store.rs
@@ -12,6 +12,7 @@
 
 use crate::gateway_json::decode_text;
 use crate::gateway_json::encode_text;
+use crate::gateway_json::read_number;
 use crate::gateway_json::GatewayCompare;
 use crate::gateway_json::GatewayEvent;
 use crate::gateway_json::GatewayKeyValue;
@@ -96,7 +97,7 @@
             range_end: end.map_or_else(String::new, |end| encode_text(&end)),
         };
         let reply: GatewayRangeReply = self.post("/v3/kv/range", &body)?;
-        let revision = number(&reply.header.revision)?;
+        let revision = read_number(&reply.header.revision)?;
         let entries = reply.kvs.iter().map(key_entry).collect::<Result<_, _>>()?;
         Ok(StoreReply::Entries { entries, revision })
     }
@@ -118,7 +119,7 @@
             failure: Vec::new(),
         };
         let reply: GatewayTxnReply = self.post("/v3/kv/txn", &body)?;
-        let revision = number(&reply.header.revision)?;
+        let revision = read_number(&reply.header.revision)?;
         Ok(StoreReply::Committed {
             applied: reply.succeeded,
             revision,
@@ -394,15 +395,15 @@
     Ok(KeyEntry {
         key: decode_text(&pair.key)?,
         value: decode_text(&pair.value)?,
-        create_revision: number(&pair.create_revision)?,
-        mod_revision: number(&pair.mod_revision)?,
+        create_revision: read_number(&pair.create_revision)?,
+        mod_revision: read_number(&pair.mod_revision)?,
     })
 }
 
 fn leased(reply: &GatewayLease) -> Result<StoreReply, StoreError> {
     Ok(StoreReply::Leased {
-        lease: LeaseId(number(&reply.id)?),
-        ttl_s: number(&reply.ttl)?,
+        lease: LeaseId(read_number(&reply.id)?),
+        ttl_s: read_number(&reply.ttl)?,
     })
 }
 
@@ -410,7 +411,7 @@
     let result = &line.result;
     if result.canceled {
         return Err(StoreError::Compacted {
-            oldest: number(&result.compact_revision)?,
+            oldest: read_number(&result.compact_revision)?,
         });
     }
     let mut updates = Vec::with_capacity(result.events.len() + 1);
@@ -426,15 +427,6 @@
     Ok(updates)
 }
 
-/// Reads a 64-bit number; the gateway leaves zeros out.
-fn number(text: &str) -> Result<u64, StoreError> {
-    if text.is_empty() {
-        return Ok(0);
-    }
-    text.parse()
-        .map_err(|_| malformed("a number doesn't parse"))
-}
-
 fn malformed(detail: &str) -> StoreError {
     StoreError::Malformed {
         detail: detail.to_owned(),
--- a/crates/sequoiagw-store/src/gateway_json.rs
+++ b/crates/sequoiagw-store/src/gateway_json.rs
@@ -23,6 +23,16 @@
     String::from_utf8(bytes).map_err(|error| malformed(error.to_string()))
 }
 
+/// Reads a 64-bit number; the gateway leaves zeros out.
+pub fn read_number(text: &str) -> Result<u64, StoreError> {
+    if text.is_empty() {
+        return Ok(0);
+    }
+    text.parse().map_err(|_| StoreError::Malformed {
+        detail: format!("\"{text}\" is not a number"),
+    })
+}
+
 /// Header of each reply.
 #[derive(Clone, Debug, Default, Serialize, Deserialize)]
 #[serde(default)]
