Ask the claimant for a key also when it isn't known as a target

Ruled out: the claim (it stood), the claimant's memory (later tries were answered). Change: a redirect goes to the claimant named by the claim; a dispatch to a node without an address comes back at once as undelivered.

--- a/crates/sequoiagw-node/src/core_messages.rs
+++ b/crates/sequoiagw-node/src/core_messages.rs
@@ -164,6 +164,19 @@
         holders
     }
 
+    /// Sends a message of the entry; a dispatch to a node without an address comes back.
+    pub(crate) fn send_for_entry(&mut self, node: NodeId, body: FrameBody, now: Instant) {
+        let unknown = node != self.node && self.members().address(node).is_none();
+        match &body {
+            FrameBody::Dispatch(dispatch) if unknown => {
+                let number = dispatch.call;
+                self.counters.count("frame.no_address");
+                self.entry.on_undelivered(number, node, now);
+            }
+            _ => self.send(node, body),
+        }
+    }
+
     pub(crate) fn send(&mut self, node: NodeId, body: FrameBody) {
         if node == self.node {
             self.own_frames.push_back(body);
--- a/crates/sequoiagw-node/src/core_settle.rs
+++ b/crates/sequoiagw-node/src/core_settle.rs
@@ -34,7 +34,7 @@
             idle &= self.settle_versions(now);
             idle &= self.settle_holder(now);
             idle &= self.settle_claims(now);
-            idle &= self.settle_entry();
+            idle &= self.settle_entry(now);
             idle &= self.settle_owner(now);
             while let Some(body) = self.own_frames.pop_front() {
                 idle = false;
@@ -140,12 +140,12 @@
         idle
     }
 
-    pub(crate) fn settle_entry(&mut self) -> bool {
+    pub(crate) fn settle_entry(&mut self, now: Instant) -> bool {
         let actions = self.entry.take_actions();
         let idle = actions.is_empty();
         for action in actions {
             match action {
-                EntryAction::Send(node, body) => self.send(node, body),
+                EntryAction::Send(node, body) => self.send_for_entry(node, body, now),
                 EntryAction::ResetLink(node) => {
                     self.counters.count("link.reset");
                     if let Some(address) = self.members().address(node) {
--- a/crates/sequoiagw-node/tests/call_promises.rs
+++ b/crates/sequoiagw-node/tests/call_promises.rs
@@ -175,3 +175,24 @@
         assert!(fleet.log.doubled().is_empty());
     });
 }
+
+#[test]
+fn a_key_is_answered_by_its_node_while_that_one_leaves() {
+    on_paused_clock(async {
+        let fleet = ready_fleet(slow_plan(300)).await;
+        // A call under way keeps the leaver from ending at once.
+        let owner = fleet.nodes[0].handle.clone();
+        let first = call(&owner, "change-die", "first", "die-1").await;
+        assert!(first.outcome.is_ok());
+        let claimant = (0..8)
+            .find(|index| fleet.nodes[*index].model.started_runs() > 0)
+            .expect("it ran somewhere");
+        fleet.nodes[claimant].handle.withdraw();
+        fleet.nodes[claimant].handle.drain();
+        tokio::time::sleep(Duration::from_millis(200)).await;
+        let entry = &fleet.nodes[(claimant + 1) % 8].handle;
+        let again = call(entry, "change-die", "again", "die-1").await;
+        assert!(again.outcome.expect("the stored answer").replayed);
+        assert_eq!(fleet.log.count("die-1"), 1);
+    });
+}
--- a/crates/sequoiagw-policy/src/entry_retries.rs
+++ b/crates/sequoiagw-policy/src/entry_retries.rs
@@ -13,6 +13,7 @@
 use crate::EntryAction;
 use crate::EntryMachine;
 use crate::RetryReason;
+use crate::TargetInfo;
 
 /// First pause before a try at an overloaded service.
 const PAUSE_TIME: Duration = Duration::from_millis(4);
@@ -86,26 +87,27 @@
         }
     }
 
+    /// Sends a call to the node that claimed its key. That node may be unknown here as a
+    /// target, because it has just started or is leaving; it knows its keys all the same.
     pub(crate) fn redirect(&mut self, call: u64, redirect: RedirectAnswer, now: Instant) {
         self.release_target(call);
         let Some(entry) = self.calls.get_mut(&call) else {
             return;
         };
         entry.redirects += 1;
-        let node = NodeId::from(redirect.node);
-        let known = self
-            .board
-            .targets(&entry.spec.service)
-            .iter()
-            .find(|target| target.node == node && target.boot == redirect.boot);
-        match known.cloned() {
-            Some(target) if entry.redirects <= REDIRECT_LIMIT => {
-                self.actions
-                    .push(EntryAction::Retried(RetryReason::KeyRedirected));
-                self.send_to(call, target, true, now);
-            }
-            _ => self.reply(call, Err(ErrorKind::KeyUnknown)),
+        if entry.redirects > REDIRECT_LIMIT {
+            self.reply(call, Err(ErrorKind::KeyUnknown));
+            return;
         }
+        let claimant = TargetInfo {
+            node: NodeId::from(redirect.node),
+            boot: redirect.boot,
+            data_centre: String::new(),
+            slots: 0,
+        };
+        self.actions
+            .push(EntryAction::Retried(RetryReason::KeyRedirected));
+        self.send_to(call, claimant, true, now);
     }
 
     /// Jittered pause that doubles with each try.
