Prove that a store answering from the past changes nothing

Change: any order of old and new answers, whole or as changes, never puts an older version in force again and never passes over a whole newer one.

--- /dev/null
+++ b/crates/sequoiagw-distribution/tests/version_machine.rs
@@ -0,0 +1,68 @@
+//! Versions at one node: old and crossed news changes nothing.
+
+use std::collections::BTreeSet;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sequoiagw_config::AcceptedConfig;
+use sequoiagw_config::MeshConfig;
+use sequoiagw_config::RawValue;
+use sequoiagw_config::SettingName;
+use sequoiagw_distribution::VersionAction;
+use sequoiagw_distribution::VersionMachine;
+use sequoiagw_protocol::NodeId;
+use tokio::time::Instant;
+
+/// A chain of versions, each with another number of retries.
+fn chain(length: i64) -> Vec<AcceptedConfig> {
+    let mut chain: Vec<AcceptedConfig> = Vec::new();
+    for retries in 0..length {
+        let mut config = MeshConfig::default();
+        config
+            .defaults
+            .insert(SettingName::Retries, RawValue::Integer(retries));
+        chain.push(AcceptedConfig::succeed(chain.last(), &config));
+    }
+    chain
+}
+
+fn machine() -> VersionMachine {
+    let rng = ChaCha8Rng::seed_from_u64(1);
+    VersionMachine::new(NodeId::from(1), "north", rng, Instant::now())
+}
+
+#[test]
+fn a_store_that_answers_from_the_past_changes_nothing() {
+    bolero::check!()
+        .with_type::<Vec<(u8, bool)>>()
+        .with_iterations(200)
+        .for_each(|answers| {
+            let chain = chain(9);
+            let mut machine = machine();
+            let mut activated = Vec::new();
+            let mut newest = 0;
+            for (index, by_changes) in answers {
+                let entry = &chain[usize::from(index % 9)];
+                if *by_changes {
+                    machine.on_stored_changes(entry, Instant::now());
+                } else {
+                    machine.on_stored(Some(entry), Instant::now());
+                    newest = newest.max(entry.version);
+                }
+                for action in machine.take_actions() {
+                    if let VersionAction::Activate(snapshot) = action {
+                        activated.push(snapshot.version);
+                    }
+                }
+            }
+            let distinct: BTreeSet<u64> = activated.iter().copied().collect();
+            assert!(
+                activated.is_sorted() && distinct.len() == activated.len(),
+                "{activated:?}"
+            );
+            assert!(
+                machine.active() >= newest,
+                "a whole newer version was passed over"
+            );
+        });
+}
