Prefer the own data centre by the call's aim; read changes in larger batches

Cause: a fixed 60 ms penalty sent calls over costly links whenever the near target was slower. Ruled out: load reports as the source of the bytes (calls stayed remote at low load).

--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -1,5 +1,6 @@
 //! Follows the operators' configuration and the nodes' entries in the platform's store.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -23,9 +24,9 @@
 pub const NODES_PREFIX: &str = "sequoiagw/nodes/";
 
 /// Time for which the store may hold a question for changes.
-const POLL_WAIT: Duration = Duration::from_secs(5);
+const POLL_WAIT: Duration = Duration::from_secs(10);
 /// Pause after changes, so that changes that come together are read together.
-const BATCH_PAUSE: Duration = Duration::from_millis(150);
+const BATCH_PAUSE: Duration = Duration::from_millis(500);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// Time without word from the store after which peers are asked for the configuration.
@@ -38,7 +39,8 @@
 pub struct StoreFollower {
     handle: MeshHandle,
     store: Rc<dyn PollingStore>,
-    last_word: Rc<std::cell::Cell<Instant>>,
+    /// Since when calls to the store have failed.
+    failing: Rc<Cell<Option<Instant>>>,
 }
 
 impl StoreFollower {
@@ -47,27 +49,21 @@
         Self {
             handle,
             store,
-            last_word: Rc::new(std::cell::Cell::new(Instant::now())),
+            failing: Rc::default(),
         }
     }
 
     /// Follows the store for good: reads everything, then asks for changes until some of
     /// them were missed.
     pub async fn run(self) {
-        let mut lost = false;
         loop {
             match self.follow().await {
                 Ok(()) => info!(event = "store_history_lost"),
                 Err(error) => {
-                    if !lost {
-                        warn!(event = "store_lost", error = %error);
-                    }
-                    lost = true;
+                    self.failed(&error);
                     sleep(FAILURE_PAUSE).await;
-                    continue;
                 }
             }
-            lost = false;
         }
     }
 
@@ -75,7 +71,8 @@
     pub async fn ask_peers(self) {
         loop {
             sleep(ASK_PERIOD).await;
-            if self.last_word.get().elapsed() > SILENCE_TIME + POLL_WAIT {
+            let silent = self.failing.get().is_some_and(|since| since.elapsed() > SILENCE_TIME);
+            if silent {
                 self.handle.with_core(|core, now| core.ask_for_config(now));
             }
         }
@@ -99,7 +96,6 @@
 
     async fn follow_from(&self, revision: u64) -> Result<(), StoreError> {
         let mut after = revision;
-        let mut failed = false;
         loop {
             let request = PollRequest {
                 prefix: String::new(),
@@ -109,7 +105,6 @@
             match self.store.poll(request).await {
                 Ok(batch) => {
                     self.heard();
-                    failed = false;
                     after = batch.revision;
                     let any = !batch.changes.is_empty();
                     for change in batch.changes {
@@ -121,10 +116,7 @@
                 }
                 Err(StoreError::Compacted { .. }) => return Ok(()),
                 Err(error) => {
-                    if !failed {
-                        warn!(event = "store_poll_failed", error = %error);
-                    }
-                    failed = true;
+                    self.failed(&error);
                     sleep(FAILURE_PAUSE).await;
                 }
             }
@@ -142,8 +134,21 @@
         }
     }
 
+    /// Notes a failed call; only the first one in a row is logged.
+    fn failed(&self, error: &StoreError) {
+        if self.failing.get().is_none() {
+            warn!(event = "store_lost", error = %error);
+            self.failing.set(Some(Instant::now()));
+        }
+        self.handle.counters().count("store.failed");
+    }
+
     fn heard(&self) {
-        self.last_word.set(Instant::now());
+        if let Some(since) = self.failing.get() {
+            let silent_ms = since.elapsed().as_millis();
+            info!(event = "store_regained", silent_ms);
+        }
+        self.failing.set(None);
     }
 
     fn take_change(&self, change: KeyChange) {
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -26,6 +26,7 @@
 use crate::CallRequest;
 use crate::CallSpec;
 use crate::CallerReply;
+use crate::remote_penalty;
 use crate::EntryAction;
 use crate::PickRequest;
 use crate::PlacementRule;
@@ -312,6 +313,7 @@
             level: entry.spec.queue_level(),
             tried: &entry.tried,
             rule: entry.spec.placement,
+            remote_penalty: remote_penalty(entry.spec.aim, entry.spec.level),
             spill_load: entry.spec.spill_load,
             refuse_early: entry.tries == 0,
         };
--- a/crates/sequoiagw-policy/src/placement_rule.rs
+++ b/crates/sequoiagw-policy/src/placement_rule.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use sequoiagw_protocol::RankLevel;
+
 /// How a call's target is chosen, and what follows when it has no room.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum PlacementRule {
@@ -13,7 +15,16 @@
     Fastest,
 }
 
-impl PlacementRule {
-    /// Advantage in time by which a target in another data centre must be better.
-    pub const REMOTE_PENALTY: Duration = Duration::from_millis(60);
+/// Part of a call's aim by which another data centre must answer sooner to be worth the link.
+const REMOTE_PART: f64 = 0.4;
+/// The same for the most urgent calls, whose answers are worth far more than the link.
+const URGENT_REMOTE_PART: f64 = 0.15;
+
+/// Advantage in time by which a target in another data centre must be better.
+pub fn remote_penalty(aim: Duration, level: RankLevel) -> Duration {
+    if level == RankLevel::MOST_URGENT {
+        aim.mul_f64(URGENT_REMOTE_PART)
+    } else {
+        aim.mul_f64(REMOTE_PART)
+    }
 }
--- a/crates/sequoiagw-policy/src/target_board.rs
+++ b/crates/sequoiagw-policy/src/target_board.rs
@@ -64,6 +64,8 @@
     pub refuse_early: bool,
     /// How the target is chosen.
     pub rule: PlacementRule,
+    /// Advantage in time by which a target in another data centre must be better.
+    pub remote_penalty: Duration,
 }
 
 /// What this entry has seen of one target itself.
@@ -168,7 +170,7 @@
             return Err(ErrorKind::TargetMissing);
         }
         if request.rule == PlacementRule::Fastest {
-            return self.fastest(&usable, request.level, rng, now);
+            return self.fastest(&usable, request, rng, now);
         }
         let open: Vec<&TargetInfo> = usable
             .into_iter()
@@ -201,13 +203,13 @@
     fn fastest(
         &self,
         usable: &[&TargetInfo],
-        level: RankLevel,
+        request: &PickRequest<'_>,
         rng: &mut ChaCha8Rng,
         now: Instant,
     ) -> Result<TargetInfo, ErrorKind> {
         let mut best: Option<(Duration, &TargetInfo)> = None;
         for info in usable {
-            if self.refuses(info, level, now) && usable.len() > 1 {
+            if self.refuses(info, request.level, now) && usable.len() > 1 {
                 continue;
             }
             let mut time = self
@@ -215,7 +217,7 @@
                 .get(&info.node)
                 .map_or(FIRST_HOLD, |view| view.answer_time(info.slots, now));
             if info.data_centre != self.data_centre {
-                time += PlacementRule::REMOTE_PENALTY;
+                time += request.remote_penalty;
             }
             time = time.mul_f64(rng.random_range(0.95..1.05));
             if best.is_none_or(|(least, _)| time < least) {
--- a/crates/sequoiagw-policy/tests/target_board.rs
+++ b/crates/sequoiagw-policy/tests/target_board.rs
@@ -38,6 +38,7 @@
         spill_load: 1.5,
         refuse_early: true,
         rule: PlacementRule::Spill,
+        remote_penalty: Duration::ZERO,
     }
 }
 
@@ -47,6 +48,7 @@
         slots: 10,
         waiting,
         open_levels,
+        hold_ms: 0,
     }
 }
 
