Rank nested calls as the operator wrote them, earliest aim first within a rank

Cause: callers and the backend server share a machine's address, so every call was taken for a nested one and all ranks were one; runs held slots for calls that were then refused. Ruled out: telling them apart by deadline (both vary).

--- a/crates/sequoiagw-mesh/src/caller_edge.rs
+++ b/crates/sequoiagw-mesh/src/caller_edge.rs
@@ -1,6 +1,5 @@
 //! The edge at which requests of callers and of the backend server arrive.
 
-use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -58,7 +57,7 @@
     pub async fn accept(self, listener: TcpListener) {
         loop {
             match listener.accept().await {
-                Ok((stream, peer)) => {
+                Ok((stream, _)) => {
                     if self.open_connections() >= CONNECTION_LIMIT {
                         self.handle.counters().refused("too_many_connections");
                         continue;
@@ -67,7 +66,7 @@
                     let phase = self.phase.clone();
                     tokio::task::spawn_local(async move {
                         let limits = || edge.limits();
-                        let handler = |request| edge.answer(request, peer.ip());
+                        let handler = |request| edge.answer(request);
                         serve_connection(stream, limits, phase, handler).await;
                     });
                 }
@@ -92,7 +91,7 @@
         }
     }
 
-    async fn answer(&self, request: HttpRequest, peer: IpAddr) -> HttpReply {
+    async fn answer(&self, request: HttpRequest) -> HttpReply {
         let names = *self.handle.wire().headers();
         let request_id = request.head.header(names.request_id).map(str::to_owned);
         let Some(request_id) = request_id else {
@@ -111,21 +110,14 @@
             .header(names.deadline)
             .and_then(|value| value.trim().parse().ok())
             .map(Duration::from_millis);
-        let nested = self.is_nested(peer);
-        let spec = self.spec_of(&route, allowed, nested);
+        let spec = self.spec_of(&route, allowed);
         let call = self.call_of(request, &request_id);
-        let service = spec.service.clone();
+        let sent = spec.clone();
         let reply = self.handle.call(spec, call).await;
-        self.reply_of(reply, &request_id, &route, &service, version.number)
+        self.reply_of(reply, &request_id, &route, &sent, version.number)
     }
 
-    /// Whether a request comes from the backend server beside the node and not from a caller.
-    fn is_nested(&self, peer: IpAddr) -> bool {
-        let own = self.handle.read(|core| core.settings().caller_address.ip());
-        peer == own || peer.is_loopback()
-    }
-
-    fn spec_of(&self, route: &MeshRoute, allowed: Option<Duration>, nested: bool) -> CallSpec {
+    fn spec_of(&self, route: &MeshRoute, allowed: Option<Duration>) -> CallSpec {
         let (service, retry_budget) = self.handle.with_core(|core, _| {
             let service = core.choose_service(route);
             (service, core.retry_share())
@@ -142,7 +134,6 @@
             timeout,
             placement: PlacementRule::Fastest,
             aim: route.aim,
-            nested,
             retries_errors: true,
         }
     }
@@ -179,7 +170,7 @@
         reply: CallerReply,
         request_id: &str,
         route: &MeshRoute,
-        service: &str,
+        spec: &CallSpec,
         version: u64,
     ) -> HttpReply {
         match reply.outcome {
@@ -191,7 +182,8 @@
             Err(kind) => {
                 info!(
                     event = "call_refused", request = request_id, reason = %kind,
-                    ran = %kind.rule().ran, tries = reply.tries, route = %route.name, service, version
+                    ran = %kind.rule().ran, tries = reply.tries, route = %route.name, level = %route.level,
+                    allowed_ms = spec.timeout.as_millis() as u64, service = %spec.service, version
                 );
                 refusal(kind, Some(route))
             }
--- a/crates/sequoiagw-node/src/route_spec.rs
+++ b/crates/sequoiagw-node/src/route_spec.rs
@@ -17,7 +17,6 @@
         timeout: route.limits.timeout,
         placement: PlacementRule::Spill,
         aim: route.limits.timeout,
-        nested: false,
         retries_errors: false,
     }
 }
--- a/crates/sequoiagw-policy/src/entry_call.rs
+++ b/crates/sequoiagw-policy/src/entry_call.rs
@@ -36,24 +36,10 @@
     pub placement: PlacementRule,
     /// Time within which an answer is worth most.
     pub aim: Duration,
-    /// Whether a backend server makes the call during a run of its own.
-    pub nested: bool,
     /// Whether a backend server's own failure is tried again where the call is idempotent.
     pub retries_errors: bool,
 }
 
-impl CallSpec {
-    /// Level in a target's queue. A nested call goes before all others: the run that waits
-    /// for it holds a slot all the while.
-    pub(crate) fn queue_level(&self) -> RankLevel {
-        match self.placement {
-            PlacementRule::Spill => self.level,
-            PlacementRule::Fastest if self.nested => RankLevel::MOST_URGENT,
-            PlacementRule::Fastest => RankLevel::new(self.level.get().saturating_add(1)),
-        }
-    }
-}
-
 /// A caller's request.
 #[derive(Clone, Debug, Default)]
 pub struct CallRequest {
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -310,7 +310,7 @@
         };
         let request = PickRequest {
             service: &entry.spec.service,
-            level: entry.spec.queue_level(),
+            level: entry.spec.level,
             tried: &entry.tried,
             rule: entry.spec.placement,
             remote_penalty: remote_penalty(entry.spec.aim, entry.spec.level),
@@ -486,7 +486,7 @@
         call: entry.dispatch,
         service: entry.spec.service.clone(),
         route: entry.spec.route.clone(),
-        rank: u32::from(entry.spec.queue_level().get()),
+        rank: u32::from(entry.spec.level.get()),
         remaining_ms: remaining.as_millis() as u32,
         caller: request.caller,
         key: request.key.clone(),
@@ -503,7 +503,6 @@
         aim_ms: (entry.began + entry.spec.aim)
             .saturating_duration_since(now)
             .as_millis() as u32,
-        nested: entry.spec.nested,
     }
 }
 
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -41,6 +41,7 @@
             id,
             level: RankLevel::new(call.dispatch.rank.min(7) as u8),
             flow: flow_of(&call.dispatch),
+            due: due_time(call, now),
             deadline: call.deadline,
         };
         if self.queue.is_empty() && self.may_run(queued.level) {
@@ -169,8 +170,20 @@
     }
 }
 
-/// Calls of one kind from one caller.
+/// When a call's answer is due: within its aim where its sender names one, so that short
+/// calls, for which other runs wait, go before patient ones of the same rank.
+fn due_time(call: &OwnerCall, now: Instant) -> Instant {
+    match call.dispatch.wait_rule() {
+        WaitRule::Deadline => call.deadline,
+        _ => now + Duration::from_millis(u64::from(call.dispatch.aim_ms)),
+    }
+}
+
+/// Calls of one kind from one caller; where due times order a level, it has a single flow.
 fn flow_of(dispatch: &CallDispatch) -> u64 {
+    if dispatch.wait_rule() != WaitRule::Deadline {
+        return 0;
+    }
     xxh3_64_with_seed(dispatch.route.as_bytes(), dispatch.caller)
 }
 
--- a/crates/sequoiagw-policy/src/rank_queue.rs
+++ b/crates/sequoiagw-policy/src/rank_queue.rs
@@ -1,4 +1,4 @@
-//! Queue of a target: by rank, fair within a rank, earliest deadline within a flow.
+//! Queue of a target: by rank, fair within a rank, earliest due time within a flow.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -22,6 +22,8 @@
     pub level: RankLevel,
     /// Flow for fairness: calls of one kind from one caller.
     pub flow: u64,
+    /// Time by which it orders itself within its flow.
+    pub due: Instant,
     /// Deadline.
     pub deadline: Instant,
 }
@@ -40,7 +42,7 @@
 /// Calls of one level, by flow.
 #[derive(Debug, Default)]
 struct LevelQueue {
-    /// Calls of each flow, by deadline and arrival.
+    /// Calls of each flow, by due time and arrival.
     flows: HashMap<u64, BTreeMap<(Instant, u64), CallId>>,
     /// Flows with calls, in the order of their turns.
     turns: VecDeque<u64>,
@@ -57,7 +59,7 @@
         self.length += 1;
     }
 
-    /// Takes the earliest deadline of the flow whose turn it is.
+    /// Takes the earliest due call of the flow whose turn it is.
     fn take_next(&mut self) -> Option<CallId> {
         let flow = self.turns.pop_front()?;
         let calls = self.flows.get_mut(&flow)?;
@@ -201,7 +203,7 @@
         let Some((call, arrival)) = self.forget(id) else {
             return false;
         };
-        self.levels[call.level.index()].remove(call.flow, (call.deadline, arrival));
+        self.levels[call.level.index()].remove(call.flow, (call.due, arrival));
         true
     }
 
@@ -227,7 +229,7 @@
 
     fn insert(&mut self, call: QueuedCall) {
         self.arrivals += 1;
-        let place = (call.deadline, self.arrivals);
+        let place = (call.due, self.arrivals);
         self.levels[call.level.index()].insert(call.flow, place, call.id);
         self.deadlines.insert((call.deadline, call.id));
         self.places.insert(call.id, (call, self.arrivals));
--- a/crates/sequoiagw-policy/tests/at_most_once.rs
+++ b/crates/sequoiagw-policy/tests/at_most_once.rs
@@ -183,7 +183,6 @@
             timeout: Duration::from_millis(self.rng.random_range(20..2500)),
             placement: PlacementRule::Spill,
             aim: Duration::from_millis(500),
-            nested: false,
             retries_errors: false,
         };
         let request = CallRequest {
--- a/crates/sequoiagw-protocol/src/call_message.rs
+++ b/crates/sequoiagw-protocol/src/call_message.rs
@@ -75,9 +75,6 @@
     /// Time left within which an answer is worth most, in milliseconds.
     #[prost(uint32, tag = "18")]
     pub aim_ms: u32,
-    /// Whether the call was made by a backend server during a run of its own.
-    #[prost(bool, tag = "19")]
-    pub nested: bool,
 }
 
 /// How long a wait for a slot the sender of a call accepts.
