Expect waits with the urgent work to come, and refuse what can't be answered in time

Cause: waits were estimated from the queue alone; under strict ranks the patient calls waited, started late and ran out of time (9,132 '504 from a server').

--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -20,6 +20,7 @@
 mod rank_queue;
 mod retry_budget;
 mod slot_limiter;
+mod start_rates;
 mod target_board;
 
 pub use call_id::CallId;
@@ -47,6 +48,7 @@
 pub use rank_queue::RankQueue;
 pub use retry_budget::RetryBudget;
 pub use slot_limiter::SlotLimiter;
+pub use start_rates::StartRates;
 pub use target_board::PickRequest;
 pub use target_board::TargetBoard;
 pub use target_board::TargetInfo;
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -26,6 +26,7 @@
 use crate::RankQueue;
 use crate::RunId;
 use crate::SlotLimiter;
+use crate::StartRates;
 
 /// Time for which an outcome is kept, so that it can be asked for after a lost link.
 const OUTCOME_TIME: Duration = Duration::from_secs(3);
@@ -33,7 +34,7 @@
 ///
 /// Entries stop asking shortly after the deadline; a call forgotten earlier would be
 /// barred and called "not run".
-const CALL_MEMORY: Duration = Duration::from_secs(60);
+const CALL_MEMORY: Duration = Duration::from_secs(10);
 /// Time for which a barred call stays barred.
 const BAR_MEMORY: Duration = Duration::from_secs(20 * 60);
 
@@ -46,6 +47,7 @@
     pub(crate) limiter: SlotLimiter,
     pub(crate) queue: RankQueue,
     pub(crate) holds: HoldTimes,
+    pub(crate) starts: StartRates,
     pub(crate) calls: HashMap<CallId, OwnerCall>,
     pub(crate) runs: HashMap<RunId, CallId>,
     pub(crate) run_deadlines: BTreeSet<(Instant, RunId)>,
@@ -74,6 +76,7 @@
             limiter,
             queue,
             holds: HoldTimes::default(),
+            starts: StartRates::default(),
             calls: HashMap::new(),
             runs: HashMap::new(),
             run_deadlines: BTreeSet::new(),
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -28,11 +28,19 @@
 const PROMPT_WAIT: Duration = Duration::from_millis(40);
 /// Multiple of the aim within which an answer is still worth a slot.
 const LATE_FACTOR: f64 = 1.2;
+/// Time for which a call holds a slot at least, in seconds, for estimates.
+const SHORTEST_HOLD_S: f64 = 0.001;
+/// Part of the freed slots that a level is expected to get at least.
+const LEAST_PART: f64 = 0.05;
 /// Part of the slots that may be reserved at most.
 const RESERVED_DIVISOR: u32 = 4;
 
 impl OwnerMachine {
     pub(crate) fn enqueue(&mut self, id: CallId, now: Instant) {
+        let Some(call) = self.calls.get(&id) else {
+            return;
+        };
+        let latest_start = self.latest_start(call, now);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -42,7 +50,7 @@
             level: RankLevel::new(call.dispatch.rank.min(7) as u8),
             flow: flow_of(&call.dispatch),
             due: due_time(call, now),
-            deadline: call.deadline,
+            deadline: latest_start,
         };
         if self.queue.is_empty() && self.may_run(queued.level) {
             self.run(id, now);
@@ -65,7 +73,7 @@
             return false;
         };
         let dispatch = &call.dispatch;
-        let wait = self.expected_wait(level);
+        let wait = self.expected_wait(level, now);
         let answered = wait + self.holds.of_route(&dispatch.route);
         let aim = Duration::from_millis(u64::from(dispatch.aim_ms));
         let left = call.deadline.saturating_duration_since(now);
@@ -77,11 +85,24 @@
         }
     }
 
-    /// Time until a slot comes free for a call of this level, after those that go first.
-    pub(crate) fn expected_wait(&self, level: RankLevel) -> Duration {
+    /// Time until a slot comes free for a call of this level, after those that wait before it
+    /// and those that are more urgent and still to come.
+    pub(crate) fn expected_wait(&self, level: RankLevel, now: Instant) -> Duration {
         let ahead = self.queue.waiting_up_to(level) as f64 + 1.0;
         let slots = f64::from(self.limiter.allowed().max(1));
-        self.holds.mean().mul_f64(ahead / slots)
+        let freed_per_s = slots / self.holds.mean().as_secs_f64().max(SHORTEST_HOLD_S);
+        let urgent_per_s = self.starts.more_urgent_than(level, now);
+        let left_per_s = (freed_per_s - urgent_per_s).max(freed_per_s * LEAST_PART);
+        Duration::from_secs_f64(ahead / left_per_s)
+    }
+
+    /// When a call that waits has to start at the latest to be answered by its deadline.
+    fn latest_start(&self, call: &OwnerCall, now: Instant) -> Instant {
+        if call.dispatch.wait_rule() == WaitRule::Deadline {
+            return call.deadline;
+        }
+        let hold = self.holds.of_route(&call.dispatch.route);
+        call.deadline.checked_sub(hold).unwrap_or(now).max(now)
     }
 
     /// Least urgent level that may take a slot now, if any slot is free.
@@ -138,6 +159,8 @@
         dispatch.remaining_ms = (call.deadline.saturating_duration_since(now)).as_millis() as u32;
         self.limiter.start();
         self.holds.start(run, now);
+        let level = RankLevel::new(dispatch.rank.min(7) as u8);
+        self.starts.count(level, now);
         self.runs.insert(run, id);
         self.run_deadlines.insert((deadline, run));
         self.actions.push(OwnerAction::Run(Box::new(RunRequest {
--- a/crates/sequoiagw-policy/tests/rank_queue.rs
+++ b/crates/sequoiagw-policy/tests/rank_queue.rs
@@ -20,6 +20,7 @@
         id,
         level: RankLevel::new(level),
         flow,
+        due: deadline,
         deadline,
     }
 }
