Report expected waits by level, and ask two targets at most for room

Cause: entries knew only the length of queues, so a call refused in a flood visited four targets, across data centres, with its body.

--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -187,8 +187,8 @@
     }
 
     /// Load of the own target.
-    pub fn load(&self) -> sequoiagw_protocol::LoadReport {
-        self.owner.load()
+    pub fn load(&self, now: Instant) -> sequoiagw_protocol::LoadReport {
+        self.owner.load(now)
     }
 
     /// Starts a caller's call; [`CoreAction::Reply`] follows under the number returned.
--- a/crates/sequoiagw-node/src/node_status.rs
+++ b/crates/sequoiagw-node/src/node_status.rs
@@ -64,7 +64,7 @@
 impl NodeStatus {
     /// Reads a node's status.
     pub(crate) fn of(core: &NodeCore, counters: &CounterBoard, now: Instant) -> Self {
-        let load = core.load();
+        let load = core.load(now);
         let heard = core.heard_centres().iter();
         Self {
             name: core.identity().name.clone(),
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -314,6 +314,7 @@
             tried: &entry.tried,
             rule: entry.spec.placement,
             remote_penalty: remote_penalty(entry.spec.aim, entry.spec.level),
+            aim: (entry.began + entry.spec.aim).saturating_duration_since(now),
             spill_load: entry.spec.spill_load,
             refuse_early: entry.tries == 0,
         };
@@ -506,12 +507,11 @@
     }
 }
 
-/// The first target is asked for a slot at once, the next one for an answer in time.
+/// The first target is asked for a slot soon, the next one for whatever still makes sense.
 fn wait_rule_of(entry: &EntryCall) -> WaitRule {
     match (entry.spec.placement, entry.full) {
         (PlacementRule::Spill, _) => WaitRule::Deadline,
         (PlacementRule::Fastest, 0) => WaitRule::Prompt,
-        (PlacementRule::Fastest, 1) => WaitRule::Timely,
         (PlacementRule::Fastest, _) => WaitRule::Late,
     }
 }
--- a/crates/sequoiagw-policy/src/entry_retries.rs
+++ b/crates/sequoiagw-policy/src/entry_retries.rs
@@ -21,8 +21,8 @@
 const PAUSE_TIME: Duration = Duration::from_millis(4);
 /// Tries that refusals outside a backend server's control may cost beyond the allowance.
 const FREE_TRIES: u32 = 4;
-/// Targets without room after which a call is refused.
-const FULL_LIMIT: u32 = 3;
+/// Refusals for want of room after which a call is refused.
+const FULL_LIMIT: u32 = 2;
 /// Redirects that one call may follow.
 const REDIRECT_LIMIT: u32 = 2;
 
@@ -110,36 +110,24 @@
         entry.spec.placement == PlacementRule::Fastest
     }
 
-    /// A target had no room: others are asked, each accepting a longer wait.
+    /// A target had no room: the best one is chosen anew, for a longer wait.
     fn on_target_full(&mut self, call: u64, now: Instant) {
         let Some(entry) = self.calls.get_mut(&call) else {
             return;
         };
         entry.full += 1;
-        if entry.full > FULL_LIMIT || now >= entry.deadline {
+        if entry.full >= FULL_LIMIT || now >= entry.deadline {
             self.reply(call, Err(ErrorKind::QueueFull));
             return;
         }
         self.actions
             .push(EntryAction::Retried(RetryReason::TargetFull));
         self.release_target(call);
-        if self.all_tried(call) {
-            // The first ones are asked again, now for a longer wait.
-            if let Some(entry) = self.calls.get_mut(&call) {
-                entry.tried.clear();
-                entry.full = FULL_LIMIT;
-            }
-        }
+        // Its report, which came with the refusal, is compared with the others' now.
+        self.forget_last_tried(call);
         self.dispatch(call, now);
     }
 
-    fn all_tried(&self, call: u64) -> bool {
-        self.calls.get(&call).is_some_and(|entry| {
-            let targets = self.board.targets(&entry.spec.service);
-            targets.iter().all(|info| entry.tried.contains(&info.node))
-        })
-    }
-
     /// Tries an idempotent call elsewhere after its backend server failed it; tells whether
     /// it does. The failure stays the answer unless the further try brings another one.
     pub(crate) fn try_past_failure(
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -115,7 +115,7 @@
     }
 
     /// Load told with each answer.
-    pub fn load(&self) -> LoadReport {
+    pub fn load(&self, now: Instant) -> LoadReport {
         LoadReport {
             running: self.limiter.running(),
             slots: self.limiter.allowed(),
@@ -126,6 +126,7 @@
                 self.queue.open_levels()
             },
             hold_ms: self.holds.mean().as_millis() as u32,
+            waits: LoadReport::pack_waits(self.expected_waits(now)),
         }
     }
 
@@ -178,12 +179,12 @@
             return;
         }
         if self.bars.contains_key(&id) {
-            self.send(id, CallOutcome::refused(ErrorKind::CallBarred));
+            self.send(id, CallOutcome::refused(ErrorKind::CallBarred), now);
             return;
         }
         if let Some(kind) = self.reason_to_refuse(&dispatch) {
             self.actions.push(OwnerAction::Refused(kind));
-            self.send(id, CallOutcome::refused(kind));
+            self.send(id, CallOutcome::refused(kind), now);
             return;
         }
         let deadline = now + Duration::from_millis(u64::from(dispatch.remaining_ms));
@@ -211,7 +212,7 @@
             call: query.call,
         };
         if query.target_boot != self.boot {
-            self.send(id, CallOutcome::refused(ErrorKind::TargetLost));
+            self.send(id, CallOutcome::refused(ErrorKind::TargetLost), now);
             return;
         }
         let outcome = match self.calls.get(&id).map(|call| &call.state) {
@@ -223,7 +224,7 @@
                 CallOutcome::refused(ErrorKind::CallBarred)
             }
         };
-        self.send(id, outcome);
+        self.send(id, outcome, now);
     }
 
     /// Drops a call whose caller has gone, unless something else depends on it.
@@ -322,18 +323,18 @@
         call.dispatch.body = bytes::Bytes::new();
         let attached = std::mem::take(&mut call.attached);
         self.memory.insert((now + OUTCOME_TIME, id));
-        self.send(id, outcome.clone());
+        self.send(id, outcome.clone(), now);
         for other in attached {
             let outcome = replayed(outcome.clone());
             self.finish(other, &outcome, now);
         }
     }
 
-    fn send(&mut self, id: CallId, outcome: CallOutcome) {
+    fn send(&mut self, id: CallId, outcome: CallOutcome, now: Instant) {
         let answer = CallAnswer {
             call: id.call,
             entry_boot: id.boot,
-            load: Some(self.load()),
+            load: Some(self.load(now)),
             outcome: Some(outcome),
         };
         self.actions.push(OwnerAction::Answer(id.entry, answer));
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -12,6 +12,7 @@
 
 use crate::owner_call::OwnerCall;
 use crate::owner_call::OwnerState;
+use crate::remote_penalty;
 use crate::BackendResult;
 use crate::CallId;
 use crate::KeyState;
@@ -24,7 +25,7 @@
 
 /// Time for which a keyed call may run on past its deadline, so that a retry finds the answer.
 const KEYED_GRACE: Duration = Duration::from_secs(5);
-/// Wait that a sender accepts while another target may be free.
+/// Wait that a sender accepts at least while another target may be free sooner.
 const PROMPT_WAIT: Duration = Duration::from_millis(40);
 /// Multiple of the aim within which an answer is still worth a slot.
 const LATE_FACTOR: f64 = 1.2;
@@ -79,8 +80,9 @@
         let left = call.deadline.saturating_duration_since(now);
         match dispatch.wait_rule() {
             WaitRule::Deadline => true,
-            WaitRule::Prompt => wait <= PROMPT_WAIT && answered <= left,
-            WaitRule::Timely => answered <= aim.min(left),
+            WaitRule::Prompt => {
+                wait <= remote_penalty(aim, level).max(PROMPT_WAIT) && answered <= aim.min(left)
+            }
             WaitRule::Late => answered <= aim.mul_f64(LATE_FACTOR).min(left),
         }
     }
@@ -96,6 +98,18 @@
         Duration::from_secs_f64(ahead / left_per_s)
     }
 
+    /// Expected waits of all levels, zero where a slot is free.
+    pub(crate) fn expected_waits(&self, now: Instant) -> [Duration; RankLevel::COUNT] {
+        let mut waits = [Duration::ZERO; RankLevel::COUNT];
+        for (number, wait) in (0..).zip(&mut waits) {
+            let level = RankLevel::new(number);
+            if !self.queue.is_empty() || !self.may_run(level) {
+                *wait = self.expected_wait(level, now);
+            }
+        }
+        waits
+    }
+
     /// When a call that waits has to start at the latest to be answered by its deadline.
     fn latest_start(&self, call: &OwnerCall, now: Instant) -> Instant {
         if call.dispatch.wait_rule() == WaitRule::Deadline {
--- a/crates/sequoiagw-policy/src/target_board.rs
+++ b/crates/sequoiagw-policy/src/target_board.rs
@@ -29,8 +29,8 @@
 
 /// Time for which a call holds a slot, assumed before a target reports one.
 const FIRST_HOLD: Duration = Duration::from_millis(100);
-/// Load per slot above which a call is expected to wait.
-const FULL_LOAD: f64 = 0.95;
+/// Age up to which a report of a long wait refuses a call without asking.
+const HOPELESS_AGE: Duration = Duration::from_millis(120);
 /// Weight of a new answer in a target's share of failures.
 const ERROR_WEIGHT: f64 = 0.1;
 /// Time that a target which fails every call counts as slower.
@@ -66,6 +66,8 @@
     pub rule: PlacementRule,
     /// Advantage in time by which a target in another data centre must be better.
     pub remote_penalty: Duration,
+    /// Time left within which an answer is worth most.
+    pub aim: Duration,
 }
 
 /// What this entry has seen of one target itself.
@@ -97,17 +99,35 @@
         busy.max(f64::from(self.in_flight)) / f64::from(slots.max(1))
     }
 
-    /// Expected time to an answer, from the reported load and what was sent since.
-    fn answer_time(&self, announced: u32, now: Instant) -> Duration {
-        let hold = match &self.report {
-            Some((report, _)) if report.hold_ms > 0 => {
-                Duration::from_millis(u64::from(report.hold_ms))
-            }
-            _ => FIRST_HOLD,
+    /// Expected time to an answer: the reported wait, fading with its age, a turn for each
+    /// call sent since, and the time for which a slot is held.
+    fn answer_time(&self, announced: u32, level: RankLevel, now: Instant) -> Duration {
+        let Some((report, time)) = &self.report else {
+            return FIRST_HOLD + self.failure_penalty();
+        };
+        let hold = match report.hold_ms {
+            0 => FIRST_HOLD,
+            hold_ms => Duration::from_millis(u64::from(hold_ms)),
         };
-        let load = self.load(announced, now);
-        let wait = (load - FULL_LOAD).max(0.0);
-        hold.mul_f64(1.0 + wait) + ERROR_PENALTY.mul_f64(self.error_share)
+        let age = now.saturating_duration_since(*time);
+        let weight = 1.0 - (age.as_secs_f64() / REPORT_AGE.as_secs_f64()).min(1.0);
+        let free = f64::from(report.slots.saturating_sub(report.running));
+        let over = (f64::from(self.sent_since_report) - free).max(0.0);
+        let turn = hold.div_f64(f64::from(announced.max(1)));
+        let wait = report.wait(level).mul_f64(weight) + turn.mul_f64(over);
+        wait + hold + self.failure_penalty()
+    }
+
+    fn failure_penalty(&self) -> Duration {
+        ERROR_PENALTY.mul_f64(self.error_share)
+    }
+
+    /// Whether a fresh report says that a call of this level would wait past `aim`.
+    fn is_hopeless(&self, level: RankLevel, aim: Duration, now: Instant) -> bool {
+        self.report.is_some_and(|(report, time)| {
+            let fresh = now.saturating_duration_since(time) < HOPELESS_AGE;
+            fresh && report.wait(level) > aim
+        })
     }
 
     fn is_ejected(&self, now: Instant) -> bool {
@@ -209,13 +229,15 @@
     ) -> Result<TargetInfo, ErrorKind> {
         let mut best: Option<(Duration, &TargetInfo)> = None;
         for info in usable {
-            if self.refuses(info, request.level, now) && usable.len() > 1 {
+            if self.refuses(info, request.level, now) {
                 continue;
             }
             let mut time = self
                 .views
                 .get(&info.node)
-                .map_or(FIRST_HOLD, |view| view.answer_time(info.slots, now));
+                .map_or(FIRST_HOLD, |view| {
+                    view.answer_time(info.slots, request.level, now)
+                });
             if info.data_centre != self.data_centre {
                 time += request.remote_penalty;
             }
@@ -224,8 +246,14 @@
                 best = Some((time, info));
             }
         }
-        let chosen = best.map(|(_, info)| info.clone());
-        chosen.or_else(|| usable.first().map(|info| (*info).clone())).ok_or(ErrorKind::TargetMissing)
+        let Some((_, chosen)) = best else {
+            return Err(ErrorKind::FleetOverloaded);
+        };
+        let view = self.views.get(&chosen.node);
+        if view.is_some_and(|view| view.is_hopeless(request.level, request.aim, now)) {
+            return Err(ErrorKind::FleetOverloaded);
+        }
+        Ok(chosen.clone())
     }
 
     /// Notes that a node was heard.
--- a/crates/sequoiagw-policy/tests/owner_machine.rs
+++ b/crates/sequoiagw-policy/tests/owner_machine.rs
@@ -271,16 +271,16 @@
 #[test]
 fn shedding_cuts_the_slots_and_answers_open_them_again() {
     let mut case = OwnerCase::new(10, 4, shares());
-    assert_eq!(case.owner.load().slots, 10);
+    assert_eq!(case.owner.load(Instant::now()).slots, 10);
     case.dispatch(0, 1_000);
     let run = *case.runs.keys().next().expect("runs");
     case.runs.clear();
     case.owner.on_result(run, BackendResult::Shed, case.now);
     case.collect();
-    assert_eq!(case.owner.load().slots, 8);
+    assert_eq!(case.owner.load(Instant::now()).slots, 8);
     for _ in 0..40 {
         case.dispatch(0, 1_000);
         case.pass(21);
     }
-    assert_eq!(case.owner.load().slots, 10);
+    assert_eq!(case.owner.load(Instant::now()).slots, 10);
 }
--- a/crates/sequoiagw-policy/tests/target_board.rs
+++ b/crates/sequoiagw-policy/tests/target_board.rs
@@ -39,6 +39,7 @@
         refuse_early: true,
         rule: PlacementRule::Spill,
         remote_penalty: Duration::ZERO,
+        aim: Duration::from_secs(1),
     }
 }
 
@@ -49,6 +50,7 @@
         waiting,
         open_levels,
         hold_ms: 0,
+        waits: 0,
     }
 }
 
--- a/crates/sequoiagw-protocol/src/call_message.rs
+++ b/crates/sequoiagw-protocol/src/call_message.rs
@@ -1,11 +1,14 @@
 //! Messages that carry callers' requests and their answers.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use prost::Enumeration;
 use prost::Message;
 use prost::Oneof;
 
 use crate::ErrorKind;
+use crate::RankLevel;
 
 /// One HTTP header.
 #[derive(Clone, Eq, Message, PartialEq)]
@@ -83,12 +86,10 @@
 pub enum WaitRule {
     /// Up to the deadline.
     Deadline = 0,
-    /// Next to none: another target may be free.
+    /// Short: another target may be free sooner.
     Prompt = 1,
-    /// As long as the answer is expected within its aim.
-    Timely = 2,
     /// As long as the answer is expected not long after its aim.
-    Late = 3,
+    Late = 2,
 }
 
 /// A whole HTTP answer.
@@ -193,6 +194,26 @@
     /// Time for which a call holds its slot on average, in milliseconds; 0 before the first.
     #[prost(uint32, tag = "5")]
     pub hold_ms: u32,
+    /// Expected wait for a slot of each level, see [`LoadReport::wait`].
+    #[prost(fixed64, tag = "6")]
+    pub waits: u64,
+}
+
+/// Unit of the waits in a load report, in milliseconds.
+const WAIT_UNIT_MS: u64 = 8;
+
+impl LoadReport {
+    /// Puts the expected waits of all levels into one number, a byte for each level.
+    pub fn pack_waits(waits: [Duration; RankLevel::COUNT]) -> u64 {
+        let units = waits.map(|wait| (wait.as_millis() as u64).div_ceil(WAIT_UNIT_MS).min(255));
+        u64::from_le_bytes(units.map(|unit| unit as u8))
+    }
+
+    /// Expected wait of a level; the longest that can be told stands for longer ones too.
+    pub fn wait(&self, level: RankLevel) -> Duration {
+        let unit = self.waits.to_le_bytes()[level.index()];
+        Duration::from_millis(u64::from(unit) * WAIT_UNIT_MS)
+    }
 }
 
 /// Asks the owner what became of a call; an unknown call gets barred.
