--- a/crates/sequoiagw-http/src/http_server.rs
+++ b/crates/sequoiagw-http/src/http_server.rs
@@ -86,7 +86,12 @@
     loop {
         let bounds = limits();
         let mut refusal = None;
-        while state.reading && running.len() < PIPELINE_DEPTH {
+        let leaving = *phase.borrow() != ServerPhase::Open;
+        // A leaver reads nothing behind a request that runs: its answer closes the
+        // connection, and what is sent behind it counts as not read.
+        state.reading &= !(leaving && !running.is_empty());
+        let depth = if leaving { 1 } else { PIPELINE_DEPTH };
+        while state.reading && running.len() < depth {
             match state.next_request(&bounds, &mut output) {
                 Ok(Some(request)) => {
                     state.methods.push_back(request.head.method != "HEAD");
--- a/crates/sequoiagw-mesh/src/caller_edge.rs
+++ b/crates/sequoiagw-mesh/src/caller_edge.rs
@@ -102,6 +102,9 @@
         let Some(version) = version else {
             return self.refuse(ErrorKind::NodeUnready, &request_id, "", 0);
         };
+        if self.handle.read(crate::MeshCore::refuses_callers) {
+            return self.refuse(ErrorKind::NodeStopping, &request_id, "", version.number);
+        }
         let Some(route) = version.find_route(host, &request.head.path).cloned() else {
             return self.refuse(ErrorKind::RouteUnknown, &request_id, "", version.number);
         };
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -85,6 +85,7 @@
     /// Slots offered now, 0 when the backend server takes no work.
     offered: u32,
     leaving: bool,
+    refusing: bool,
     counters: CounterBoard,
     actions: Vec<MeshAction>,
 }
@@ -111,6 +112,7 @@
             own_frames: VecDeque::new(),
             offered: 0,
             leaving: false,
+            refusing: false,
             counters,
             actions: Vec::new(),
             settings,
@@ -353,6 +355,16 @@
         self.settle(now);
     }
 
+    /// Begins no new calls from now on: the process ends before they could be finished.
+    pub fn refuse_callers(&mut self) {
+        self.refusing = true;
+    }
+
+    /// Whether no new calls are begun.
+    pub fn refuses_callers(&self) -> bool {
+        self.refusing
+    }
+
     /// Offers the backend server's slots, or takes the offer back.
     fn offer_target(&mut self, now: Instant) {
         let slots = self.target.serving(now).map_or(0, |(_, slots)| slots);
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -35,6 +35,8 @@
 /// Time for which a leaver serves on at least: callers are sent elsewhere after two
 /// readiness questions without success, a second apart.
 const LEAVE_TIME: Duration = Duration::from_millis(2300);
+/// Time before the end of the process from which no new request is begun.
+const LAST_CALL_TIME: Duration = Duration::from_millis(1600);
 /// Time kept back at the end of the grace period.
 const GRACE_RESERVE: Duration = Duration::from_millis(700);
 /// Time between two looks whether all work is done.
@@ -135,11 +137,13 @@
     handle.with_core(MeshCore::leave);
     phase.send_replace(ServerPhase::Leaving);
     sleep(LEAVE_TIME).await;
-    while Instant::now() < last && handle.read(MeshCore::open_calls) > 0 {
-        sleep(LEAVE_PERIOD).await;
-    }
     phase.send_replace(ServerPhase::Closing);
-    while Instant::now() < last && callers.open_connections() > 0 {
+    let refuse_from = last.checked_sub(LAST_CALL_TIME).unwrap_or(started);
+    let busy = || callers.open_connections() > 0 || handle.read(MeshCore::open_calls) > 0;
+    while Instant::now() < last && busy() {
+        if Instant::now() >= refuse_from {
+            handle.with_core(|core, _| core.refuse_callers());
+        }
         sleep(LEAVE_PERIOD).await;
     }
 }
