--- a/crates/sequoiagw-http/src/http_connection.rs
+++ b/crates/sequoiagw-http/src/http_connection.rs
@@ -46,6 +46,8 @@
     last_used: Instant,
     /// Idle time after which the server closes the connection, if it said so.
     server_idle: Option<Duration>,
+    /// Time in which the first byte of an answer has to come.
+    answer_time: Option<Duration>,
 }
 
 impl HttpConnection {
@@ -67,6 +69,7 @@
             reusable: true,
             last_used: Instant::now(),
             server_idle: None,
+            answer_time: None,
         })
     }
 
@@ -83,6 +86,11 @@
         matches!(self.stream.try_read(&mut probe), Err(error) if error.kind() == IoErrorKind::WouldBlock)
     }
 
+    /// Sets the time in which the first byte of the next answer has to come.
+    pub fn set_answer_time(&mut self, time: Duration) {
+        self.answer_time = Some(time);
+    }
+
     /// Sends a request and reads its answer. Answers that `is_own` turns down belong to
     /// earlier exchanges and are passed over.
     ///
@@ -99,6 +107,7 @@
     {
         self.reusable = false;
         let (mut reader, mut writer) = self.stream.split();
+        let silent_at = self.answer_time.map(|time| Instant::now() + time);
         let mut written = false;
         let mut write = std::pin::pin!(writer.write_all(request));
         for _ in 0..STRAY_LIMIT {
@@ -121,6 +130,9 @@
                         Ok(_) => {}
                         Err(_) => return Err(answer.broken()),
                     },
+                    () = silence(silent_at), if answer.head.is_none() && self.buffer.is_empty() => {
+                        return Err(ExchangeError::Broken);
+                    }
                 }
             };
             if is_own(&response.head) {
@@ -137,6 +149,13 @@
     }
 }
 
+async fn silence(until: Option<Instant>) {
+    match until {
+        Some(until) => tokio::time::sleep_until(until).await,
+        None => std::future::pending().await,
+    }
+}
+
 /// The end of a connection in the middle of a head or before it.
 fn answer_broken(buffer: &BytesMut) -> ExchangeError {
     if buffer.is_empty() {
--- a/crates/sequoiagw-mesh/src/entry_keeper.rs
+++ b/crates/sequoiagw-mesh/src/entry_keeper.rs
@@ -13,16 +13,16 @@
 use tokio::time::sleep_until;
 use tokio::time::Instant;
 use tracing::info;
-use tracing::warn;
 
 use crate::store_follower::NODES_PREFIX;
 use crate::MeshHandle;
 use crate::NodeEntry;
+use crate::StoreHealth;
 
 /// Time after which an entry lapses unless its lease is renewed.
 const LEASE_SECONDS: u64 = 10;
-/// Time between renewals.
-const RENEW_PERIOD: Duration = Duration::from_secs(3);
+/// Time between renewals, which also show whether the store answers.
+const RENEW_PERIOD: Duration = Duration::from_secs(2);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(300);
 
@@ -30,6 +30,7 @@
 pub struct EntryKeeper {
     handle: MeshHandle,
     store: Rc<dyn PollingStore>,
+    health: StoreHealth,
     lease: Option<LeaseId>,
     written: Option<NodeEntry>,
     renew_at: Instant,
@@ -37,10 +38,11 @@
 
 impl EntryKeeper {
     /// Builds a keeper that has written nothing yet.
-    pub fn new(handle: MeshHandle, store: Rc<dyn PollingStore>) -> Self {
+    pub fn new(handle: MeshHandle, store: Rc<dyn PollingStore>, health: StoreHealth) -> Self {
         Self {
             handle,
             store,
+            health,
             lease: None,
             written: None,
             renew_at: Instant::now(),
@@ -50,21 +52,16 @@
     /// Keeps the entry for good.
     pub async fn run(mut self) {
         let changed = self.handle.entry_changed();
-        let mut failed = false;
         loop {
             match self.step().await {
                 Ok(()) => {
-                    failed = false;
                     tokio::select! {
                         () = changed.notified() => self.check_listed(),
                         () = sleep_until(self.renew_at) => {}
                     }
                 }
                 Err(error) => {
-                    if !failed {
-                        warn!(event = "entry_not_kept", error = %error);
-                    }
-                    failed = true;
+                    self.health.failed(&error);
                     sleep(FAILURE_PAUSE).await;
                 }
             }
@@ -116,6 +113,7 @@
         };
         match self.store.call(StoreRequest::KeepAlive { lease }).await {
             Ok(_) => {
+                self.health.answered();
                 self.renew_at = Instant::now() + RENEW_PERIOD;
                 Ok(())
             }
--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -17,6 +17,7 @@
 mod return_time;
 mod split_table;
 mod store_follower;
+mod store_health;
 mod target_record;
 
 pub use caller_edge::CallerEdge;
@@ -45,6 +46,7 @@
 pub use split_table::SplitTable;
 pub use store_follower::StoreFollower;
 pub use store_follower::NODES_PREFIX;
+pub use store_health::StoreHealth;
 pub use target_record::Heartbeat;
 pub use target_record::HeartbeatOutcome;
 pub use target_record::HeartbeatPhase;
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -31,6 +31,7 @@
 use crate::MeshSettings;
 use crate::PlatformWire;
 use crate::StoreFollower;
+use crate::StoreHealth;
 
 /// Time for which a leaver serves on at least: callers are sent elsewhere after two
 /// readiness questions without success, a second apart.
@@ -86,14 +87,17 @@
     let (phase, phase_receiver) = watch::channel(ServerPhase::Open);
     let callers = CallerEdge::new(handle.clone(), phase_receiver.clone());
     let local = LocalEdge::new(handle.clone(), phase_receiver);
-    let follower = StoreFollower::new(handle.clone(), Rc::clone(&edges.store));
-    let keeper = EntryKeeper::new(handle.clone(), edges.store);
+    let health = StoreHealth::new(handle.counters());
+    let store = Rc::clone(&edges.store);
+    let follower = StoreFollower::new(handle.clone(), store, health.clone());
+    let keeper = EntryKeeper::new(handle.clone(), edges.store, health);
     tokio::task::spawn_local(async move { links.accept(peer_listener).await });
     tokio::task::spawn_local(callers.clone().accept(caller_listener));
     tokio::task::spawn_local(local.clone().accept(ready_listener));
     tokio::task::spawn_local(local.accept(beat_listener));
     tokio::task::spawn_local(follower.clone().ask_peers());
-    tokio::task::spawn_local(follower.run());
+    tokio::task::spawn_local(follower.clone().follow_config());
+    tokio::task::spawn_local(follower.follow_nodes());
     tokio::task::spawn_local(keeper.run());
     let driven = handle.clone();
     tokio::task::spawn_local(async move { driven.run(receiver).await });
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -1,10 +1,10 @@
 //! Follows the operators' configuration and the nodes' entries in the platform's store.
 
-use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use sequoiagw_store::ChangeBatch;
 use sequoiagw_store::KeyChange;
 use sequoiagw_store::KeyEntry;
 use sequoiagw_store::PollRequest;
@@ -13,20 +13,22 @@
 use sequoiagw_store::StoreReply;
 use sequoiagw_store::StoreRequest;
 use tokio::time::sleep;
-use tokio::time::Instant;
 use tracing::info;
 use tracing::warn;
 
 use crate::MeshHandle;
 use crate::NodeEntry;
+use crate::StoreHealth;
 
 /// Beginning of the keys of nodes' entries.
 pub const NODES_PREFIX: &str = "sequoiagw/nodes/";
 
 /// Time for which the store may hold a question for changes.
-const POLL_WAIT: Duration = Duration::from_secs(10);
-/// Pause after changes, so that changes that come together are read together.
-const BATCH_PAUSE: Duration = Duration::from_millis(500);
+const POLL_WAIT: Duration = Duration::from_secs(20);
+/// Pause after a version before the next one is read.
+const CONFIG_PAUSE: Duration = Duration::from_millis(900);
+/// Pause after changes of entries, so that changes that come together are read together.
+const NODES_PAUSE: Duration = Duration::from_millis(900);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(250);
 /// Time without word from the store after which peers are asked for the configuration.
@@ -39,93 +41,156 @@
 pub struct StoreFollower {
     handle: MeshHandle,
     store: Rc<dyn PollingStore>,
-    /// Since when calls to the store have failed.
-    failing: Rc<Cell<Option<Instant>>>,
+    health: StoreHealth,
 }
 
 impl StoreFollower {
     /// Builds a follower that tells `handle` what the store holds.
-    pub fn new(handle: MeshHandle, store: Rc<dyn PollingStore>) -> Self {
+    pub fn new(handle: MeshHandle, store: Rc<dyn PollingStore>, health: StoreHealth) -> Self {
         Self {
             handle,
             store,
-            failing: Rc::default(),
+            health,
         }
     }
 
-    /// Follows the store for good: reads everything, then asks for changes until some of
-    /// them were missed.
-    pub async fn run(self) {
+    /// Follows the operators' configuration for good.
+    ///
+    /// After a change the newest version is read at intervals until it is the one known:
+    /// in a quick succession of changes that brings fewer copies than there are versions.
+    pub async fn follow_config(self) {
         loop {
-            match self.follow().await {
-                Ok(()) => info!(event = "store_history_lost"),
-                Err(error) => {
-                    self.failed(&error);
-                    sleep(FAILURE_PAUSE).await;
+            let Some(mut after) = self.read_config().await else {
+                continue;
+            };
+            let key = self.handle.wire().config_key().to_owned();
+            while let Some(batch) = self.ask_for_changes(&key, after).await {
+                if !batch.changes.is_empty() {
+                    self.take_newest(batch.changes);
+                    sleep(CONFIG_PAUSE).await;
+                    break;
                 }
+                after = batch.revision;
             }
         }
     }
 
-    /// Asks peers for the configuration while the store is silent.
-    pub async fn ask_peers(self) {
+    /// Reads the configuration until it has stopped changing; returns the store's revision.
+    async fn read_config(&self) -> Option<u64> {
         loop {
-            sleep(ASK_PERIOD).await;
-            let silent = self.failing.get().is_some_and(|since| since.elapsed() > SILENCE_TIME);
-            if silent {
-                self.handle.with_core(|core, now| core.ask_for_config(now));
+            let before = self.version_number();
+            let key = self.handle.wire().config_key().to_owned();
+            match self.read(StoreRequest::Read { key }).await {
+                Ok((entries, revision)) => {
+                    entries.into_iter().for_each(|entry| self.take_entry(entry));
+                    if self.version_number() == before || before.is_none() {
+                        return Some(revision);
+                    }
+                    sleep(CONFIG_PAUSE).await;
+                }
+                Err(error) => {
+                    self.pause_after(&error).await;
+                    return None;
+                }
             }
         }
     }
 
-    /// Reads everything and follows it until history is missing.
-    async fn follow(&self) -> Result<(), StoreError> {
-        let config = self.handle.wire().config_key().to_owned();
-        let (configs, revision) = self.read(StoreRequest::Read { key: config }).await?;
-        for entry in configs {
-            self.take_entry(entry);
-        }
-        let prefix = NODES_PREFIX.to_owned();
-        let (nodes, _) = self.read(StoreRequest::ReadPrefix { prefix }).await?;
-        let entries = nodes.iter().filter_map(read_node).collect();
+    fn version_number(&self) -> Option<u64> {
         self.handle
-            .with_core(|core, now| core.on_entries(entries, now));
-        info!(event = "store_read", revision, nodes = nodes.len());
-        self.follow_from(revision).await
+            .read(|core| core.version().map(|version| version.number))
     }
 
-    async fn follow_from(&self, revision: u64) -> Result<(), StoreError> {
-        let mut after = revision;
+    /// Follows the nodes' entries for good: reads all of them, then asks for changes until
+    /// some of them were missed.
+    pub async fn follow_nodes(self) {
         loop {
-            let request = PollRequest {
-                prefix: String::new(),
-                after,
-                wait: POLL_WAIT,
-            };
-            match self.store.poll(request).await {
-                Ok(batch) => {
-                    self.heard();
-                    after = batch.revision;
-                    let any = !batch.changes.is_empty();
-                    for change in batch.changes {
-                        self.take_change(change);
-                    }
-                    if any {
-                        sleep(BATCH_PAUSE).await;
-                    }
+            let prefix = NODES_PREFIX.to_owned();
+            let mut after = match self.read(StoreRequest::ReadPrefix { prefix }).await {
+                Ok((nodes, revision)) => {
+                    let entries = nodes.iter().filter_map(read_node).collect();
+                    self.handle
+                        .with_core(|core, now| core.on_entries(entries, now));
+                    info!(event = "store_read", revision, nodes = nodes.len());
+                    revision
                 }
-                Err(StoreError::Compacted { .. }) => return Ok(()),
                 Err(error) => {
-                    self.failed(&error);
-                    sleep(FAILURE_PAUSE).await;
+                    self.pause_after(&error).await;
+                    continue;
+                }
+            };
+            while let Some(batch) = self.ask_for_changes(NODES_PREFIX, after).await {
+                after = batch.revision;
+                if batch.changes.is_empty() {
+                    continue;
+                }
+                for change in batch.changes {
+                    self.take_change(change);
                 }
+                sleep(NODES_PAUSE).await;
+            }
+        }
+    }
+
+    /// Asks for changes until the store answers; `None` when some of them may have been
+    /// missed and everything has to be read again.
+    async fn ask_for_changes(&self, prefix: &str, after: u64) -> Option<ChangeBatch> {
+        let mut regained = self.health.regained();
+        let request = PollRequest {
+            prefix: prefix.to_owned(),
+            after,
+            wait: POLL_WAIT,
+        };
+        let polled = tokio::select! {
+            polled = self.store.poll(request) => polled,
+            _ = regained.changed() => return None,
+        };
+        match polled {
+            Ok(batch) => {
+                self.health.answered();
+                Some(batch)
+            }
+            Err(StoreError::Compacted { .. }) => {
+                info!(event = "store_history_lost", prefix);
+                None
+            }
+            Err(error) => {
+                self.pause_after(&error).await;
+                None
+            }
+        }
+    }
+
+    async fn pause_after(&self, error: &StoreError) {
+        self.health.failed(error);
+        sleep(FAILURE_PAUSE).await;
+    }
+
+    /// Takes the newest of several versions; the ones between were never in force here.
+    fn take_newest(&self, changes: Vec<KeyChange>) {
+        let newest = changes.into_iter().rev().find_map(|change| match change {
+            KeyChange::Written(entry) => Some(entry),
+            KeyChange::Deleted { .. } => None,
+        });
+        if let Some(entry) = newest {
+            self.take_entry(entry);
+        }
+    }
+
+    /// Asks peers for the configuration while the store is silent.
+    pub async fn ask_peers(self) {
+        loop {
+            sleep(ASK_PERIOD).await;
+            let silent = self.health.failing_since().is_some_and(|since| since.elapsed() > SILENCE_TIME);
+            if silent {
+                self.handle.with_core(|core, now| core.ask_for_config(now));
             }
         }
     }
 
     async fn read(&self, request: StoreRequest) -> Result<(Vec<KeyEntry>, u64), StoreError> {
         let reply = self.store.call(request).await?;
-        self.heard();
+        self.health.answered();
         match reply {
             StoreReply::Entries { entries, revision } => Ok((entries, revision)),
             _ => Err(StoreError::Malformed {
@@ -134,23 +199,6 @@
         }
     }
 
-    /// Notes a failed call; only the first one in a row is logged.
-    fn failed(&self, error: &StoreError) {
-        if self.failing.get().is_none() {
-            warn!(event = "store_lost", error = %error);
-            self.failing.set(Some(Instant::now()));
-        }
-        self.handle.counters().count("store.failed");
-    }
-
-    fn heard(&self) {
-        if let Some(since) = self.failing.get() {
-            let silent_ms = since.elapsed().as_millis();
-            info!(event = "store_regained", silent_ms);
-        }
-        self.failing.set(None);
-    }
-
     fn take_change(&self, change: KeyChange) {
         match change {
             KeyChange::Written(entry) => self.take_entry(entry),
--- /dev/null
+++ b/crates/sequoiagw-mesh/src/store_health.rs
@@ -0,0 +1,61 @@
+//! Whether the platform's store answers this node.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use sequoiagw_node::CounterBoard;
+use sequoiagw_store::StoreError;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tracing::info;
+use tracing::warn;
+
+/// What the calls to the store have shown; clones share it.
+#[derive(Clone)]
+pub struct StoreHealth {
+    failing: Rc<Cell<Option<Instant>>>,
+    regained: Rc<watch::Sender<u64>>,
+    counters: CounterBoard,
+}
+
+impl StoreHealth {
+    /// Starts with a store that answers.
+    pub fn new(counters: CounterBoard) -> Self {
+        let (regained, _) = watch::channel(0);
+        Self {
+            failing: Rc::default(),
+            regained: Rc::new(regained),
+            counters,
+        }
+    }
+
+    /// Notes a failed call; only the first one in a row is logged.
+    pub fn failed(&self, error: &StoreError) {
+        self.counters.count("store.failed");
+        if self.failing.get().is_none() {
+            warn!(event = "store_lost", error = %error);
+            self.failing.set(Some(Instant::now()));
+        }
+    }
+
+    /// Notes an answer. The first one after a failure is told to [`Self::regained`].
+    pub fn answered(&self) {
+        let Some(since) = self.failing.take() else {
+            return;
+        };
+        let silent_ms = since.elapsed().as_millis() as u64;
+        info!(event = "store_regained", silent_ms);
+        self.regained.send_modify(|count| *count += 1);
+    }
+
+    /// Since when calls have failed.
+    pub fn failing_since(&self) -> Option<Instant> {
+        self.failing.get()
+    }
+
+    /// Changes each time the store answers again. A question that was waiting at the store
+    /// through an outage may never be answered and has to be asked anew.
+    pub fn regained(&self) -> watch::Receiver<u64> {
+        self.regained.subscribe()
+    }
+}
