--- a/crates/sequoiagw-http/src/http_connection.rs
+++ b/crates/sequoiagw-http/src/http_connection.rs
@@ -125,7 +125,8 @@
                     read = reader.read_buf(&mut self.buffer) => match read {
                         Ok(0) => match answer.end() {
                             Some(response) => break response,
-                            None => return Err(answer_broken(&self.buffer)),
+                            None if self.buffer.is_empty() => return Err(answer.broken()),
+                            None => return Err(ExchangeError::Truncated),
                         },
                         Ok(_) => {}
                         Err(_) => return Err(answer.broken()),
@@ -156,15 +157,6 @@
     }
 }
 
-/// The end of a connection in the middle of a head or before it.
-fn answer_broken(buffer: &BytesMut) -> ExchangeError {
-    if buffer.is_empty() {
-        ExchangeError::Broken
-    } else {
-        ExchangeError::Truncated
-    }
-}
-
 /// Reads one answer.
 struct AnswerReader<'a> {
     method: &'a str,
--- a/crates/sequoiagw-mesh/src/split_table.rs
+++ b/crates/sequoiagw-mesh/src/split_table.rs
@@ -7,45 +7,48 @@
 
 use crate::MeshRoute;
 
+/// Step between the points of successive requests; multiples of the golden ratio spread
+/// evenly over the unit interval whatever their number.
+const GOLDEN_STEP: f64 = 0.618_033_988_749_894_9;
+
 /// Deals each route's requests to its parts, so that even few requests keep to the weights.
+///
+/// Each request has a point in the unit interval, which the parts divide by their weights.
+/// The first point is drawn: over many nodes with few requests each, the weights hold too.
 #[derive(Debug, Default)]
 pub struct SplitTable {
-    credits: HashMap<String, Vec<f64>>,
+    points: HashMap<String, f64>,
 }
 
 impl SplitTable {
-    /// Chooses the service of the next request. Each part earns its weight with every request
-    /// and pays for one when it is chosen; the first credits are drawn, so that many nodes
-    /// don't start with the same part.
+    /// Chooses the service of the next request.
     pub fn choose<'a>(&mut self, route: &'a MeshRoute, rng: &mut ChaCha8Rng) -> &'a str {
         if let [part] = route.parts.as_slice() {
             return &part.service;
         }
+        let point = match self.points.get_mut(&route.name) {
+            Some(point) => {
+                *point = (*point + GOLDEN_STEP).fract();
+                *point
+            }
+            None => *self
+                .points
+                .entry(route.name.clone())
+                .or_insert_with(|| rng.random()),
+        };
         let total: f64 = route.parts.iter().map(|part| f64::from(part.weight)).sum();
-        let shares = route
-            .parts
-            .iter()
-            .map(|part| f64::from(part.weight) / total.max(1.0));
-        let credits = self.credits.entry(route.name.clone()).or_default();
-        if credits.len() != route.parts.len() {
-            *credits = shares
-                .clone()
-                .map(|share| share * rng.random::<f64>())
-                .collect();
-        }
-        let mut chosen = 0;
-        for (place, share) in shares.enumerate() {
-            credits[place] += share;
-            if credits[place] > credits[chosen] {
-                chosen = place;
+        let mut left = point * total;
+        for part in &route.parts {
+            left -= f64::from(part.weight);
+            if left < 0.0 {
+                return &part.service;
             }
         }
-        credits[chosen] -= 1.0;
-        &route.parts[chosen].service
+        &route.parts[route.parts.len() - 1].service
     }
 
-    /// Forgets the credits; the next version may weigh differently.
+    /// Forgets the points; the next version may weigh differently.
     pub fn clear(&mut self) {
-        self.credits.clear();
+        self.points.clear();
     }
 }
--- /dev/null
+++ b/crates/sequoiagw-mesh/tests/fleet_directory.rs
@@ -0,0 +1,95 @@
+//! The nodes as their entries in the store tell, and news of them.
+
+use std::time::Duration;
+
+use sequoiagw_mesh::EntryChange;
+use sequoiagw_mesh::FleetDirectory;
+use sequoiagw_mesh::NewsRecord;
+use sequoiagw_mesh::NodeEntry;
+use sequoiagw_protocol::NodeId;
+use tokio::time::Instant;
+
+fn entry(name: &str, boot: u64) -> NodeEntry {
+    NodeEntry {
+        name: name.to_owned(),
+        boot,
+        address: "10.0.0.1:7000".to_owned(),
+        data_centre: "north".to_owned(),
+        service: "press".to_owned(),
+        slots: 12,
+        leaving: None,
+    }
+}
+
+fn silent(_: NodeId) -> Option<Instant> {
+    None
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_is_used_until_it_could_be_back() {
+    let now = Instant::now();
+    let mut directory = FleetDirectory::default();
+    directory.put(entry("a", 1), 5);
+    directory.remove(NodeId::from_name("a"), 6, now);
+    directory.expire(now + Duration::from_secs(2), silent);
+    assert_eq!(directory.targets()["press"].len(), 1);
+    assert!(directory.put(entry("a", 1), 7), "its return is a change");
+    directory.expire(now + Duration::from_secs(9), silent);
+    assert_eq!(directory.targets()["press"].len(), 1);
+}
+
+#[test]
+fn an_entry_that_stays_missing_is_taken_as_gone_unless_its_node_is_heard() {
+    let now = Instant::now();
+    let mut directory = FleetDirectory::default();
+    directory.put(entry("a", 1), 5);
+    directory.put(entry("b", 1), 6);
+    directory.replace(Vec::new(), now);
+    let later = now + Duration::from_secs(4);
+    let heard = |node| (node == NodeId::from_name("a")).then_some(later);
+    assert!(directory.expire(later, heard));
+    assert_eq!(directory.targets()["press"].len(), 1);
+    assert!(directory.address(NodeId::from_name("a")).is_some());
+}
+
+#[test]
+fn news_that_cross_each_other_leave_the_latest_entry() {
+    let now = Instant::now();
+    let mut directory = FleetDirectory::default();
+    directory.put(entry("a", 2), 9);
+    assert!(!directory.put(entry("a", 1), 8));
+    directory.remove(NodeId::from_name("a"), 7, now);
+    assert_eq!(directory.entry("a").map(|entry| entry.boot), Some(2));
+}
+
+#[test]
+fn a_change_passed_on_is_the_change_that_was_read() {
+    let written = EntryChange::Written(entry("a", 7), 42);
+    assert_eq!(EntryChange::from_record(written.to_record()), written);
+    let gone = EntryChange::Gone(NodeId::from_name("a"), 43);
+    assert_eq!(EntryChange::from_record(gone.to_record()), gone);
+}
+
+#[test]
+fn two_nodes_watch_and_another_one_does_when_it_hears_no_digest() {
+    let now = Instant::now();
+    let mut news = NewsRecord::default();
+    assert!(news.watches(Some(5), now), "nothing was heard yet");
+    news.on_digest(1, 1, now);
+    assert!(!news.watches(Some(5), now));
+    assert!(news.watches(Some(1), now));
+    assert!(news.watches(Some(5), now + Duration::from_secs(4)));
+}
+
+#[test]
+fn entries_that_stay_different_from_the_watchers_are_read_again() {
+    let now = Instant::now();
+    let mut news = NewsRecord::default();
+    for digest in [2, 1, 2, 2] {
+        news.on_digest(digest, 1, now);
+        assert!(!news.take_doubt());
+    }
+    news.on_digest(2, 1, now);
+    assert!(news.take_doubt());
+    assert!(!news.take_doubt(), "asked once");
+}
