Let calls wait within their aim only; join through peers while the store is out

Processes restarted in an outage of the store knew neither version nor peers. Ruled out: the queue's order (due times hold).

--- a/crates/sequoiagw-membership/src/member_tables.rs
+++ b/crates/sequoiagw-membership/src/member_tables.rs
@@ -170,6 +170,7 @@
     pub(crate) fn send_digests(&mut self) {
         let digest = TableDigest {
             hashes: self.table.table_hashes(),
+            sender: None,
         };
         let peers = self.near_peers();
         if let Some(peer) = peers.choose(&mut self.rng).copied() {
--- a/crates/sequoiagw-mesh/src/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/src/fleet_directory.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use sequoiagw_policy::TargetInfo;
+use sequoiagw_protocol::MemberRecord;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::NodeId;
 use serde::Deserialize;
@@ -11,6 +12,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::EntryChange;
 use crate::TargetLife;
 
 /// Time for which a node whose entry has lapsed is still used: long enough for nodes that
@@ -169,6 +171,19 @@
             })
     }
 
+    /// Revision of the store at which a node's entry was written, 0 for an unknown one.
+    pub fn revision(&self, node: NodeId) -> u64 {
+        self.nodes.get(&node).map_or(0, |listed| listed.revision)
+    }
+
+    /// All entries as they are passed on.
+    pub fn records(&self) -> Vec<MemberRecord> {
+        let listed = self.nodes.values().filter(|listed| listed.lapsed.is_none());
+        listed
+            .map(|listed| EntryChange::Written(listed.entry.clone(), listed.revision).to_record())
+            .collect()
+    }
+
     /// Number of nodes.
     pub fn len(&self) -> usize {
         self.nodes.len()
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -25,6 +25,7 @@
 use sequoiagw_protocol::ConfigRequest;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FrameBody;
+use sequoiagw_protocol::MemberRecord;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PeerFrame;
@@ -54,6 +55,9 @@
 /// Part of the allowed share of repeats that nodes use; calls of repeated runs count too.
 const SHARE_PART: f64 = 0.6;
 
+/// Nodes of each data centre that watch the entries in the store for the others.
+const WATCHERS: usize = 2;
+
 /// Something to be done at an edge of the node.
 #[derive(Debug)]
 pub enum MeshAction {
@@ -73,6 +77,13 @@
     ConfigOffered(bytes::Bytes),
 }
 
+fn records_body(records: Vec<MemberRecord>) -> FrameBody {
+    FrameBody::Records(TableRecords {
+        records,
+        ..TableRecords::default()
+    })
+}
+
 /// State of a node.
 pub struct MeshCore {
     settings: MeshSettings,
@@ -92,6 +103,8 @@
     offered: u32,
     leaving: bool,
     refusing: bool,
+    /// Whether this process has joined through its peers, because the store didn't answer.
+    joined_past_store: bool,
     counters: CounterBoard,
     actions: Vec<MeshAction>,
 }
@@ -120,6 +133,7 @@
             offered: 0,
             leaving: false,
             refusing: false,
+            joined_past_store: false,
             counters,
             actions: Vec::new(),
             settings,
@@ -163,7 +177,7 @@
 
     /// Whether the node takes callers' requests.
     pub fn is_ready(&self) -> bool {
-        self.version.is_some() && !self.leaving
+        self.version.is_some() && !self.directory.is_empty() && !self.leaving
     }
 
     /// Whether the node is leaving.
@@ -251,6 +265,7 @@
         if let Some(life) = own.and_then(|(entry, _)| entry.leaving.clone()) {
             self.target.remember_left(life);
         }
+        self.joined_past_store = false;
         self.directory.replace(entries, now);
         self.directory_changed(now);
     }
@@ -275,14 +290,9 @@
         }
     }
 
-    /// Whether this node watches the nodes' entries in the store for its data centre.
+    /// Whether this node watches the nodes' entries in the store.
     pub fn watches_entries(&self, now: Instant) -> bool {
-        let centre = &self.settings.data_centre;
-        let place = self
-            .directory
-            .listed_in(centre)
-            .position(|node| node == self.node);
-        self.news.watches(place, now)
+        self.is_watcher() || self.news.is_silent(now)
     }
 
     /// Whether the entries known differ for long from those that the watchers know.
@@ -290,28 +300,40 @@
         self.news.take_doubt()
     }
 
-    /// Passes changes of entries on to the other nodes of the data centre, or only the
-    /// digest of all entries.
-    pub fn tell_entries(&mut self, changes: &[EntryChange], now: Instant) {
-        let centre = self.settings.data_centre.clone();
-        let others: Vec<NodeId> = self
-            .directory
-            .listed_in(&centre)
-            .filter(|node| *node != self.node)
-            .collect();
-        let body = if changes.is_empty() {
-            let hash = self.directory.digest();
-            let hashes = vec![TableHash {
-                data_centre: centre,
-                hash,
-            }];
-            FrameBody::Digest(TableDigest { hashes })
-        } else {
-            FrameBody::Records(TableRecords {
-                records: changes.iter().map(EntryChange::to_record).collect(),
-                ..TableRecords::default()
-            })
+    /// Passes changes of entries on to the other nodes of the data centre.
+    pub fn tell_changes(&mut self, changes: &[EntryChange], now: Instant) {
+        if self.is_watcher() {
+            let records = changes.iter().map(EntryChange::to_record).collect();
+            self.tell_data_centre(&records_body(records), now);
+        }
+    }
+
+    /// Tells the data centre's nodes which entries a watcher knows; without an answering
+    /// store only that it is there, for processes that start meanwhile.
+    pub fn tell_digest(&mut self, store_answers: bool, now: Instant) {
+        if !self.is_watcher() {
+            return;
+        }
+        let hash = TableHash {
+            data_centre: self.settings.data_centre.clone(),
+            hash: self.directory.digest(),
         };
+        let own = EntryChange::Written(self.own_entry(), 0).to_record();
+        let digest = TableDigest {
+            hashes: store_answers.then_some(hash).into_iter().collect(),
+            sender: Some(own),
+        };
+        self.tell_data_centre(&FrameBody::Digest(digest), now);
+    }
+
+    fn is_watcher(&self) -> bool {
+        let listed = self.directory.listed_in(&self.settings.data_centre);
+        listed.take(WATCHERS).any(|node| node == self.node)
+    }
+
+    fn tell_data_centre(&mut self, body: &FrameBody, now: Instant) {
+        let listed = self.directory.listed_in(&self.settings.data_centre);
+        let others: Vec<NodeId> = listed.filter(|node| *node != self.node).collect();
         for node in others {
             self.send(node, body.clone());
         }
@@ -453,6 +475,9 @@
             self.owner.refuse_waiting(now);
         }
         self.actions.push(MeshAction::EntryChanged);
+        if self.joined_past_store {
+            self.announce_to_all(now);
+        }
         self.settle(now);
     }
 
@@ -486,15 +511,25 @@
             FrameBody::Cancel(cancel) => self.owner.on_cancel(from, boot, cancel.call, now),
             FrameBody::ConfigRequest(request) => self.offer_config(from, request.held),
             FrameBody::Records(told) => {
+                let asked = !told.wanted.is_empty();
                 let records = told.records.into_iter();
                 let changes: Vec<EntryChange> = records.map(EntryChange::from_record).collect();
                 self.on_entry_changes(&changes, now);
+                if asked {
+                    let records = self.directory.records();
+                    self.send(from, records_body(records));
+                } else if self.joined_past_store {
+                    self.announce_to_all(now);
+                }
             }
             FrameBody::Digest(told) => {
                 let own = self.directory.digest();
                 for hash in told.hashes {
                     self.news.on_digest(hash.hash, own, now);
                 }
+                if let Some(sender) = told.sender.filter(|_| self.version.is_none()) {
+                    self.ask_to_join(from, sender, now);
+                }
             }
             FrameBody::Full(full) => {
                 self.actions
@@ -504,6 +539,46 @@
         }
     }
 
+    /// Asks a peer for everything: this process has started while the store doesn't answer.
+    fn ask_to_join(&mut self, peer: NodeId, record: MemberRecord, now: Instant) {
+        info!(event = "peer_asked", peer = %record.name);
+        self.counters.count("join.asked");
+        self.on_entry_changes(&[EntryChange::from_record(record)], now);
+        self.joined_past_store = true;
+        self.send(
+            peer,
+            FrameBody::ConfigRequest(ConfigRequest {
+                held: 0,
+                full: true,
+            }),
+        );
+        let wanted = vec![self.settings.data_centre.clone()];
+        let ask = TableRecords {
+            wanted,
+            ..TableRecords::default()
+        };
+        self.send(peer, FrameBody::Records(ask));
+    }
+
+    /// Tells all nodes that this process has taken its predecessor's place, or what its
+    /// backend server offers now, unless they know.
+    fn announce_to_all(&mut self, now: Instant) {
+        let entry = self.own_entry();
+        if self.directory.entry(&entry.name) == Some(&entry) {
+            return;
+        }
+        let revision = self.directory.revision(self.node) + 1;
+        let own = EntryChange::Written(entry, revision);
+        self.on_entry_changes(std::slice::from_ref(&own), now);
+        let own = own.to_record();
+        let nodes: Vec<NodeId> = self.directory.boots().map(|(node, _)| node).collect();
+        for node in nodes {
+            if node != self.node {
+                self.send(node, records_body(vec![own.clone()]));
+            }
+        }
+    }
+
     /// Passes the configuration on to a peer that holds an older one.
     fn offer_config(&mut self, to: NodeId, held: u64) {
         let Some(version) = self.version.clone().filter(|own| own.number > held) else {
--- a/crates/sequoiagw-mesh/src/node_news.rs
+++ b/crates/sequoiagw-mesh/src/node_news.rs
@@ -17,8 +17,6 @@
 use crate::store_follower::NODES_PREFIX;
 use crate::NodeEntry;
 
-/// Nodes of each data centre that watch the store.
-const WATCHERS: usize = 2;
 /// Time without a digest after which a node watches for itself.
 const DIGEST_LIFE: Duration = Duration::from_secs(4);
 /// Digests in a row that may differ before everything is read again.
@@ -99,10 +97,9 @@
 }
 
 impl NewsRecord {
-    /// Whether a node at this place among its data centre's nodes watches the store.
-    pub fn watches(&self, place: Option<usize>, now: Instant) -> bool {
-        let silent = self.heard.is_none_or(|heard| now >= heard + DIGEST_LIFE);
-        silent || place.is_none_or(|place| place < WATCHERS)
+    /// Whether no watcher has been heard for long.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        self.heard.is_none_or(|heard| now >= heard + DIGEST_LIFE)
     }
 
     /// Takes a watcher's digest.
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -137,7 +137,7 @@
                 if !changes.is_empty() {
                     self.handle.with_core(|core, now| {
                         core.on_entry_changes(&changes, now);
-                        core.tell_entries(&changes, now);
+                        core.tell_changes(&changes, now);
                     });
                     sleep(NODES_PAUSE).await;
                 }
@@ -145,18 +145,14 @@
         }
     }
 
-    /// Sends the digest of all entries at intervals while this node watches them.
+    /// Sends the digest of all entries at intervals while this node is a watcher; without
+    /// the store, only word that it is there.
     pub async fn tell_digests(self) {
         loop {
             sleep(DIGEST_PERIOD).await;
-            if self.health.failing_since().is_some() {
-                continue;
-            }
-            self.handle.with_core(|core, now| {
-                if core.watches_entries(now) {
-                    core.tell_entries(&[], now);
-                }
-            });
+            let answers = self.health.failing_since().is_none();
+            self.handle
+                .with_core(|core, now| core.tell_digest(answers, now));
         }
     }
 
--- a/crates/sequoiagw-mesh/tests/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/tests/fleet_directory.rs
@@ -71,14 +71,13 @@
 }
 
 #[test]
-fn two_nodes_watch_and_another_one_does_when_it_hears_no_digest() {
+fn watchers_are_silent_when_no_digest_has_come_for_long() {
     let now = Instant::now();
     let mut news = NewsRecord::default();
-    assert!(news.watches(Some(5), now), "nothing was heard yet");
+    assert!(news.is_silent(now), "nothing was heard yet");
     news.on_digest(1, 1, now);
-    assert!(!news.watches(Some(5), now));
-    assert!(news.watches(Some(1), now));
-    assert!(news.watches(Some(5), now + Duration::from_secs(4)));
+    assert!(!news.is_silent(now));
+    assert!(news.is_silent(now + Duration::from_secs(4)));
 }
 
 #[test]
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -507,12 +507,12 @@
     }
 }
 
-/// The first target is asked for a slot soon, the next one for whatever still makes sense.
+/// The first target is asked for a slot soon, the next one for an answer in time.
 fn wait_rule_of(entry: &EntryCall) -> WaitRule {
     match (entry.spec.placement, entry.full) {
         (PlacementRule::Spill, _) => WaitRule::Deadline,
         (PlacementRule::Fastest, 0) => WaitRule::Prompt,
-        (PlacementRule::Fastest, _) => WaitRule::Late,
+        (PlacementRule::Fastest, _) => WaitRule::Timely,
     }
 }
 
--- a/crates/sequoiagw-policy/src/hold_times.rs
+++ b/crates/sequoiagw-policy/src/hold_times.rs
@@ -8,7 +8,7 @@
 use crate::RunId;
 
 /// Weight of a new observation in the averages.
-const NEW_WEIGHT: f64 = 0.08;
+const NEW_WEIGHT: f64 = 0.02;
 /// Time assumed before anything was seen.
 const FIRST_GUESS: Duration = Duration::from_millis(100);
 
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -27,8 +27,9 @@
 const KEYED_GRACE: Duration = Duration::from_secs(5);
 /// Wait that a sender accepts at least while another target may be free sooner.
 const PROMPT_WAIT: Duration = Duration::from_millis(40);
-/// Multiple of the aim within which an answer is still worth a slot.
-const LATE_FACTOR: f64 = 1.2;
+/// Part of the aim within which an answer has to be expected for a call to wait. A queue
+/// that is let grow past the aim makes every call late in a flood.
+const TIMELY_PART: f64 = 0.9;
 /// Time for which a call holds a slot at least, in seconds, for estimates.
 const SHORTEST_HOLD_S: f64 = 0.001;
 /// Part of the freed slots that a level is expected to get at least.
@@ -83,7 +84,7 @@
             WaitRule::Prompt => {
                 wait <= remote_penalty(aim, level).max(PROMPT_WAIT) && answered <= aim.min(left)
             }
-            WaitRule::Late => answered <= aim.mul_f64(LATE_FACTOR).min(left),
+            WaitRule::Timely => answered <= aim.mul_f64(TIMELY_PART).min(left),
         }
     }
 
--- a/crates/sequoiagw-policy/src/target_board.rs
+++ b/crates/sequoiagw-policy/src/target_board.rs
@@ -126,7 +126,7 @@
     fn is_hopeless(&self, level: RankLevel, aim: Duration, now: Instant) -> bool {
         self.report.is_some_and(|(report, time)| {
             let fresh = now.saturating_duration_since(time) < HOPELESS_AGE;
-            fresh && report.wait(level) > aim
+            fresh && report.wait(level) + Duration::from_millis(u64::from(report.hold_ms)) > aim
         })
     }
 
--- a/crates/sequoiagw-policy/tests/target_board.rs
+++ b/crates/sequoiagw-policy/tests/target_board.rs
@@ -135,3 +135,95 @@
     assert!(!picks(&board, now).contains_key(&1));
     assert!(picks(&board, now + Duration::from_secs(3)).contains_key(&1));
 }
+
+/// A report of a target with `running` of 10 slots in use and a wait for all levels.
+fn waiting_report(running: u32, wait_ms: u64) -> LoadReport {
+    LoadReport {
+        hold_ms: 100,
+        waits: LoadReport::pack_waits([Duration::from_millis(wait_ms); RankLevel::COUNT]),
+        ..report(running, 0, 8)
+    }
+}
+
+fn fastest_request(penalty_ms: u64, aim_ms: u64) -> PickRequest<'static> {
+    PickRequest {
+        rule: PlacementRule::Fastest,
+        remote_penalty: Duration::from_millis(penalty_ms),
+        aim: Duration::from_millis(aim_ms),
+        ..request(1)
+    }
+}
+
+/// A near target (node 1) and a far one (node 2).
+fn near_and_far() -> TargetBoard {
+    let info = |node: u64, data_centre: &str| TargetInfo {
+        node: NodeId::from(node),
+        boot: 1,
+        data_centre: data_centre.to_owned(),
+        slots: 10,
+    };
+    let mut board = TargetBoard::new("north");
+    let targets = vec![info(1, "north"), info(2, "south")];
+    board.set_targets(BTreeMap::from([("press".to_owned(), targets)]));
+    board
+}
+
+#[test]
+fn a_wait_nearby_is_accepted_up_to_the_worth_of_the_link() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for (wait_ms, chosen) in [(0, 1), (80, 1), (400, 2)] {
+        let mut board = near_and_far();
+        board.reported(NodeId::from(1), waiting_report(10, wait_ms), now);
+        board.reported(NodeId::from(2), waiting_report(0, 0), now);
+        let target = board.pick(&fastest_request(200, 600), &mut rng, now);
+        assert_eq!(
+            target.map(|info| info.node),
+            Ok(NodeId::from(chosen)),
+            "{wait_ms} ms"
+        );
+    }
+}
+
+#[test]
+fn a_call_that_would_wait_past_its_aim_everywhere_is_refused_without_asking() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut board = near_and_far();
+    board.reported(NodeId::from(1), waiting_report(10, 900), now);
+    board.reported(NodeId::from(2), waiting_report(10, 900), now);
+    let request = fastest_request(200, 600);
+    let refused = board.pick(&request, &mut rng, now);
+    assert_eq!(refused, Err(ErrorKind::FleetOverloaded));
+    let later = now + Duration::from_millis(200);
+    assert!(
+        board.pick(&request, &mut rng, later).is_ok(),
+        "old reports refuse nothing"
+    );
+}
+
+#[test]
+fn a_silent_node_gets_no_calls_until_it_is_heard() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut board = near_and_far();
+    board.suspect(NodeId::from(1));
+    let request = fastest_request(200, 600);
+    let target = board.pick(&request, &mut rng, now);
+    assert_eq!(target.map(|info| info.node), Ok(NodeId::from(2)));
+    board.heard(NodeId::from(1));
+    let target = board.pick(&request, &mut rng, now);
+    assert_eq!(target.map(|info| info.node), Ok(NodeId::from(1)));
+}
+
+#[test]
+fn a_target_that_fails_its_calls_counts_as_slower() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut board = near_and_far();
+    for _ in 0..20 {
+        board.answered(NodeId::from(1), true);
+    }
+    let target = board.pick(&fastest_request(200, 600), &mut rng, now);
+    assert_eq!(target.map(|info| info.node), Ok(NodeId::from(2)));
+}
--- a/crates/sequoiagw-protocol/src/call_message.rs
+++ b/crates/sequoiagw-protocol/src/call_message.rs
@@ -88,8 +88,8 @@
     Deadline = 0,
     /// Short: another target may be free sooner.
     Prompt = 1,
-    /// As long as the answer is expected not long after its aim.
-    Late = 2,
+    /// As long as the answer is expected within its aim.
+    Timely = 2,
 }
 
 /// A whole HTTP answer.
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -131,6 +131,9 @@
     /// One hash per data centre.
     #[prost(message, repeated, tag = "1")]
     pub hashes: Vec<TableHash>,
+    /// Record of the sender, by which a receiver that doesn't know it can answer.
+    #[prost(message, optional, tag = "2")]
+    pub sender: Option<MemberRecord>,
 }
 
 /// Records of the member table.
