--- a/crates/sequoiagw-policy/src/target_board.rs
+++ b/crates/sequoiagw-policy/src/target_board.rs
@@ -29,6 +29,9 @@
 
 /// Time for which a call holds a slot, assumed before a target reports one.
 const FIRST_HOLD: Duration = Duration::from_millis(100);
+/// Part of the aim that a wait may take before a call is refused without asking; the rest is
+/// left for its run.
+const HOPELESS_PART: f64 = 0.7;
 /// Age up to which a report of a long wait refuses a call without asking.
 const HOPELESS_AGE: Duration = Duration::from_millis(120);
 /// Weight of a new answer in a target's share of failures.
@@ -126,7 +129,7 @@
     fn is_hopeless(&self, level: RankLevel, aim: Duration, now: Instant) -> bool {
         self.report.is_some_and(|(report, time)| {
             let fresh = now.saturating_duration_since(time) < HOPELESS_AGE;
-            fresh && report.wait(level) + Duration::from_millis(u64::from(report.hold_ms)) > aim
+            fresh && report.wait(level) > aim.mul_f64(HOPELESS_PART)
         })
     }
 
--- a/crates/sequoiagw-policy/tests/target_board.rs
+++ b/crates/sequoiagw-policy/tests/target_board.rs
@@ -202,6 +202,20 @@
     );
 }
 
+#[test]
+fn a_short_call_is_sent_to_a_free_target_whose_other_calls_are_long() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut board = near_and_far();
+    let long_calls = LoadReport {
+        hold_ms: 500,
+        ..waiting_report(5, 0)
+    };
+    board.reported(NodeId::from(1), long_calls, now);
+    board.reported(NodeId::from(2), long_calls, now);
+    assert!(board.pick(&fastest_request(50, 120), &mut rng, now).is_ok());
+}
+
 #[test]
 fn a_silent_node_gets_no_calls_until_it_is_heard() {
     let now = Instant::now();
