Split the mesh core by job; prove the platform's path with real processes

A test runs two nodes as processes against small stand-ins for the store and backend servers: run once, where the newest version says, nothing to leavers, a clean end on SIGTERM.

--- /dev/null
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -0,0 +1,212 @@
+//! The nodes' entries: what the store and peers tell of them, and what is told to peers.
+
+use std::collections::HashMap;
+
+use rand::Rng;
+use sequoiagw_protocol::ConfigFull;
+use sequoiagw_protocol::ConfigRequest;
+use sequoiagw_protocol::FrameBody;
+use sequoiagw_protocol::MemberRecord;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::TableDigest;
+use sequoiagw_protocol::TableHash;
+use sequoiagw_protocol::TableRecords;
+use tokio::time::Instant;
+use tracing::info;
+
+use crate::EntryChange;
+use crate::MeshAction;
+use crate::MeshCore;
+use crate::NodeEntry;
+
+/// Part of the fleet's extra repeats that nodes use, so that estimates of the number of
+/// nodes may be off.
+const EXTRA_PART: f64 = 0.6;
+/// Nodes of each data centre that watch the entries in the store for the others.
+const WATCHERS: usize = 2;
+
+impl MeshCore {
+    /// Takes all entries of the store.
+    pub fn on_entries(&mut self, entries: Vec<(NodeEntry, u64)>, now: Instant) {
+        let own = entries
+            .iter()
+            .find(|(entry, _)| entry.name == self.settings.name);
+        if let Some(life) = own.and_then(|(entry, _)| entry.leaving.clone()) {
+            self.target.remember_left(life);
+        }
+        self.joined_past_store = false;
+        self.directory.replace(entries, now);
+        self.directory_changed(now);
+    }
+
+    /// Takes changes of entries in the store.
+    pub fn on_entry_changes(&mut self, changes: &[EntryChange], now: Instant) {
+        let mut differs = false;
+        for change in changes {
+            match change {
+                EntryChange::Written(entry, revision) => {
+                    differs |= self.directory.put(entry.clone(), *revision);
+                }
+                EntryChange::Gone(node, revision) => {
+                    self.directory.remove(*node, *revision, now);
+                    self.counters.count("directory.lapsed");
+                    differs |= *node == self.node;
+                }
+            }
+        }
+        if differs {
+            self.directory_changed(now);
+        }
+    }
+
+    /// Whether this node watches the nodes' entries in the store.
+    pub fn watches_entries(&self, now: Instant) -> bool {
+        self.is_watcher() || self.news.is_silent(now)
+    }
+
+    /// Whether the entries known differ for long from those that the watchers know.
+    pub fn doubts_entries(&mut self) -> bool {
+        self.news.take_doubt()
+    }
+
+    /// Passes changes of entries on to the other nodes of the data centre.
+    pub fn tell_changes(&mut self, changes: &[EntryChange], now: Instant) {
+        if self.is_watcher() {
+            let records = changes.iter().map(EntryChange::to_record).collect();
+            self.tell_data_centre(&records_body(records), now);
+        }
+    }
+
+    /// Tells the data centre's nodes which entries a watcher knows; without an answering
+    /// store only that it is there, for processes that start meanwhile.
+    pub fn tell_digest(&mut self, store_answers: bool, now: Instant) {
+        if !self.is_watcher() {
+            return;
+        }
+        let hash = TableHash {
+            data_centre: self.settings.data_centre.clone(),
+            hash: self.directory.digest(),
+        };
+        let own = EntryChange::Written(self.own_entry(), 0).to_record();
+        let digest = TableDigest {
+            hashes: store_answers.then_some(hash).into_iter().collect(),
+            sender: Some(own),
+        };
+        self.tell_data_centre(&FrameBody::Digest(digest), now);
+    }
+
+    pub(crate) fn is_watcher(&self) -> bool {
+        let listed = self.directory.listed_in(&self.settings.data_centre);
+        listed.take(WATCHERS).any(|node| node == self.node)
+    }
+
+    pub(crate) fn tell_data_centre(&mut self, body: &FrameBody, now: Instant) {
+        let listed = self.directory.listed_in(&self.settings.data_centre);
+        let others: Vec<NodeId> = listed.filter(|node| *node != self.node).collect();
+        for node in others {
+            self.send(node, body.clone());
+        }
+        self.settle(now);
+    }
+
+    pub(crate) fn directory_changed(&mut self, now: Instant) {
+        let boots: HashMap<NodeId, u64> = self.directory.boots().collect();
+        for (node, boot) in &self.boots {
+            let live = boots.get(node).copied();
+            if live != Some(*boot) {
+                self.entry.on_node_lost(*node, live, now);
+            }
+        }
+        self.boots = boots;
+        self.entry.board_mut().set_targets(self.directory.targets());
+        let nodes = self.directory.len().max(1) as f64;
+        let extra = self.settings.repeats.extra * EXTRA_PART / nodes;
+        self.entry.set_saved_retries(extra);
+        let written = self.directory.entry(&self.settings.name);
+        if written != Some(&self.own_entry()) {
+            self.actions.push(MeshAction::EntryChanged);
+        }
+        self.settle(now);
+    }
+
+    /// Asks a peer for everything: this process has started while the store doesn't answer.
+    pub(crate) fn ask_to_join(&mut self, peer: NodeId, record: MemberRecord, now: Instant) {
+        info!(event = "peer_asked", peer = %record.name);
+        self.counters.count("join.asked");
+        self.on_entry_changes(&[EntryChange::from_record(record)], now);
+        self.joined_past_store = true;
+        self.send(
+            peer,
+            FrameBody::ConfigRequest(ConfigRequest {
+                held: 0,
+                full: true,
+            }),
+        );
+        let wanted = vec![self.settings.data_centre.clone()];
+        let ask = TableRecords {
+            wanted,
+            ..TableRecords::default()
+        };
+        self.send(peer, FrameBody::Records(ask));
+    }
+
+    /// Tells all nodes that this process has taken its predecessor's place, or what its
+    /// backend server offers now, unless they know.
+    pub(crate) fn announce_to_all(&mut self, now: Instant) {
+        let entry = self.own_entry();
+        if self.directory.entry(&entry.name) == Some(&entry) {
+            return;
+        }
+        let revision = self.directory.revision(self.node) + 1;
+        let own = EntryChange::Written(entry, revision);
+        self.on_entry_changes(std::slice::from_ref(&own), now);
+        let own = own.to_record();
+        let nodes: Vec<NodeId> = self.directory.boots().map(|(node, _)| node).collect();
+        for node in nodes {
+            if node != self.node {
+                self.send(node, records_body(vec![own.clone()]));
+            }
+        }
+    }
+
+    /// Passes the configuration on to a peer that holds an older one.
+    pub(crate) fn offer_config(&mut self, to: NodeId, held: u64) {
+        let Some(version) = self.version.clone().filter(|own| own.number > held) else {
+            return;
+        };
+        let Ok(canonical) = String::from_utf8(version.source.to_vec()) else {
+            return;
+        };
+        let full = ConfigFull {
+            version: version.number,
+            canonical,
+            ..ConfigFull::default()
+        };
+        self.send(to, FrameBody::Full(full));
+    }
+
+    /// Asks a peer drawn at random for a configuration newer than the one in force.
+    pub fn ask_for_config(&mut self, now: Instant) {
+        let others: Vec<NodeId> = self.directory.boots().map(|(node, _)| node).collect();
+        if others.is_empty() {
+            return;
+        }
+        let node = others[self.rng.random_range(0..others.len())];
+        let held = self.version.as_ref().map_or(0, |held| held.number);
+        if node != self.node {
+            self.send(
+                node,
+                FrameBody::ConfigRequest(ConfigRequest { held, full: true }),
+            );
+        }
+        self.settle(now);
+    }
+}
+
+/// A message with records of nodes.
+pub(crate) fn records_body(records: Vec<MemberRecord>) -> FrameBody {
+    FrameBody::Records(TableRecords {
+        records,
+        ..TableRecords::default()
+    })
+}
--- /dev/null
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -0,0 +1,91 @@
+//! Frames from peers, and links that broke or never stood.
+
+use sequoiagw_protocol::FrameBody;
+use sequoiagw_protocol::NodeAddress;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::PeerFrame;
+use tokio::time::Instant;
+
+use crate::core_directory::records_body;
+use crate::EntryChange;
+use crate::MeshAction;
+use crate::MeshCore;
+
+impl MeshCore {
+    /// A frame came from a peer.
+    pub fn on_frame(&mut self, frame: PeerFrame, bytes: usize, now: Instant) {
+        let from = frame.sender_id();
+        self.counters.frame_bytes(frame.kind(), bytes);
+        self.entry.on_heard(from, now);
+        if let Some(body) = frame.body {
+            self.on_body(from, frame.boot, body, now);
+        }
+        self.settle(now);
+    }
+
+    /// A link broke after it stood.
+    pub fn on_link_lost(&mut self, address: NodeAddress, now: Instant) {
+        self.counters.count("link.lost");
+        for node in self.directory.nodes_at(address) {
+            self.entry.on_link_lost(node, now);
+        }
+        self.settle(now);
+    }
+
+    /// Frames were never written to any link.
+    pub fn on_undelivered(&mut self, address: NodeAddress, frames: &[PeerFrame], now: Instant) {
+        self.counters.count("link.refused");
+        for node in self.directory.nodes_at(address) {
+            for frame in frames {
+                match &frame.body {
+                    Some(FrameBody::Dispatch(dispatch)) => {
+                        self.entry.on_undelivered(dispatch.call, node, now);
+                    }
+                    Some(FrameBody::Query(query)) => {
+                        self.entry.on_query_undelivered(query.call, node, now);
+                    }
+                    _ => {}
+                }
+            }
+        }
+        self.settle(now);
+    }
+
+    pub(crate) fn on_body(&mut self, from: NodeId, boot: u64, body: FrameBody, now: Instant) {
+        match body {
+            FrameBody::Dispatch(dispatch) => self.owner.on_dispatch(from, boot, dispatch, now),
+            FrameBody::Answer(answer) if answer.entry_boot == self.boot => {
+                self.entry.on_answer(from, boot, answer, now);
+            }
+            FrameBody::Query(query) => self.owner.on_query(from, boot, query, now),
+            FrameBody::Cancel(cancel) => self.owner.on_cancel(from, boot, cancel.call, now),
+            FrameBody::ConfigRequest(request) => self.offer_config(from, request.held),
+            FrameBody::Records(told) => {
+                let asked = !told.wanted.is_empty();
+                let records = told.records.into_iter();
+                let changes: Vec<EntryChange> = records.map(EntryChange::from_record).collect();
+                self.on_entry_changes(&changes, now);
+                if asked {
+                    let records = self.directory.records();
+                    self.send(from, records_body(records));
+                } else if self.joined_past_store {
+                    self.announce_to_all(now);
+                }
+            }
+            FrameBody::Digest(told) => {
+                let own = self.directory.digest();
+                for hash in told.hashes {
+                    self.news.on_digest(hash.hash, own, now);
+                }
+                if let Some(sender) = told.sender.filter(|_| self.version.is_none()) {
+                    self.ask_to_join(from, sender, now);
+                }
+            }
+            FrameBody::Full(full) => {
+                self.actions
+                    .push(MeshAction::ConfigOffered(full.canonical.into()));
+            }
+            _ => self.counters.count("frame.unexpected"),
+        }
+    }
+}
--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -4,9 +4,13 @@
 //! thread's runtime. What the platform calls things stays behind [`PlatformWire`].
 
 mod caller_edge;
+mod core_directory;
+mod core_frames;
+mod core_settle;
 mod entry_keeper;
 mod fleet_directory;
 mod local_edge;
+mod mesh_action;
 mod mesh_backend;
 mod mesh_core;
 mod mesh_handle;
@@ -26,8 +30,8 @@
 pub use fleet_directory::FleetDirectory;
 pub use fleet_directory::NodeEntry;
 pub use local_edge::LocalEdge;
+pub use mesh_action::MeshAction;
 pub use mesh_backend::MeshBackend;
-pub use mesh_core::MeshAction;
 pub use mesh_core::MeshCore;
 pub use mesh_handle::MeshHandle;
 pub use mesh_process::run_mesh_node;
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,206 @@
+//! Nodes on the users' platform as processes, with small stand-ins for its store and for
+//! backend servers.
+
+#[path = "support/kv_standin.rs"]
+mod kv_standin;
+#[path = "support/platform_backend.rs"]
+mod platform_backend;
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use bytes::Bytes;
+use kv_standin::KvStandin;
+use platform_backend::PlatformBackend;
+use sequoiagw_http::HttpConnection;
+use sequoiagw_http::HttpResponse;
+use sequoiagw_protocol::HeaderField;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+/// Looks at something that takes a while, before it counts as never.
+const LOOKS: u32 = 300;
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// A node's process; it ends with this value.
+struct NodeProcess {
+    child: Child,
+    settings: PathBuf,
+    callers: SocketAddr,
+    ready: SocketAddr,
+    heartbeats: SocketAddr,
+}
+
+impl Drop for NodeProcess {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+fn free_address() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+fn start_node(name: &str, service: &str, backend: SocketAddr, store: SocketAddr) -> NodeProcess {
+    let [peer, callers, ready, heartbeats] = [(); 4].map(|()| free_address());
+    let settings = std::env::temp_dir().join(format!("{name}-{}.toml", std::process::id()));
+    let port = peer.port();
+    let text = format!(
+        r#"
+nodeName = "{name}"
+ip = "127.0.0.1"
+zone = "north"
+internalPortRange = [{port}, {port}]
+heartbeatIntervalMs = 300
+bounds = ["gracePeriodS=6", "retryBudgetRatio=0.2", "retryBudgetExtra=56"]
+appAddress = "{backend}"
+service = "{service}"
+[listenersConfig]
+inbound = "{callers}"
+outbound = "{callers}"
+ready = "{ready}"
+controlPlane = "{heartbeats}"
+[platform]
+address = "{store}"
+"#
+    );
+    std::fs::write(&settings, text).expect("settings written");
+    let child = Command::new(env!("CARGO_BIN_EXE_sequoiagw"))
+        .arg("platform-node")
+        .env("SEQUOIAGW_CONFIG", &settings)
+        .stderr(Stdio::null())
+        .spawn()
+        .expect("a process");
+    NodeProcess {
+        child,
+        settings,
+        callers,
+        ready,
+        heartbeats,
+    }
+}
+
+async fn send(address: SocketAddr, method: &str, path: &str, id: &str) -> Option<HttpResponse> {
+    let mut connection = HttpConnection::connect(address, LIMIT, LIMIT).await.ok()?;
+    let headers = [
+        ("Host", "shop.example"),
+        ("X-Sequoiagw-Attempt-Id", id),
+        ("X-Sequoiagw-Deadline-Ms", "5000"),
+    ]
+    .map(|(name, value)| HeaderField {
+        name: name.to_owned(),
+        value: value.to_owned(),
+    });
+    let request = HttpConnection::write_request(method, path, &headers, &Bytes::new());
+    let answer = connection.exchange(method, &request, 10_000, |_| true);
+    answer.await.ok()
+}
+
+async fn status(address: SocketAddr, method: &str, path: &str, id: &str) -> u16 {
+    let answer = send(address, method, path, id).await;
+    answer.map_or(0, |answer| answer.head.status)
+}
+
+async fn wait_ready(node: &NodeProcess) {
+    for _ in 0..LOOKS {
+        if status(node.ready, "GET", "/readiness", "-").await == 200 {
+            return;
+        }
+        sleep(LOOK_PAUSE).await;
+    }
+    panic!("the node is never ready");
+}
+
+fn config(version: u32, service: &str) -> String {
+    format!(
+        r#"{{"version":"r{version}","routes":[
+        {{"name":"order","host":"shop.example","prefix":"/order/","routeKind":"non_idempotent",
+          "timeoutMs":4000,"aimMs":2000,"priority":0,"service":"{service}","maxAttempts":2}},
+        {{"name":"press","host":"shop.example","prefix":"/press/","routeKind":"non_idempotent",
+          "timeoutMs":4000,"aimMs":2000,"priority":0,"service":"press","maxAttempts":2}}],
+        "services":[],"limits":{{"maxHeaderBytes":16384,"maxBodyBytes":10000,
+        "headerTimeoutMs":3000,"idleTimeoutMs":15000}}}}"#
+    )
+}
+
+#[tokio::test]
+async fn requests_run_once_where_the_newest_version_says_and_leavers_get_none() {
+    LocalSet::new()
+        .run_until(async {
+            let store = KvStandin::open().await;
+            store.put("op/config", &config(3, "press"));
+            let press = PlatformBackend::open("i-press", "press").await;
+            let desk = PlatformBackend::open("i-desk", "desk").await;
+            let first = start_node("north-1", "press", press.address(), store.address());
+            let mut second = start_node("north-2", "desk", desk.address(), store.address());
+            press.beat(first.heartbeats);
+            desk.beat(second.heartbeats);
+            wait_ready(&first).await;
+            wait_ready(&second).await;
+
+            // Through the other node's caller address, as soon as it knows the target.
+            let mut warm = 0;
+            while status(second.callers, "POST", "/order/1", &format!("warm-{warm}")).await != 200 {
+                warm += 1;
+                assert!(warm < LOOKS, "never served");
+                sleep(LOOK_PAUSE).await;
+            }
+            for number in 0..20 {
+                let id = format!("order-{number}");
+                assert_eq!(status(second.callers, "POST", "/order/1", &id).await, 200);
+                assert_eq!(press.runs(&id), 1);
+            }
+            assert_eq!(status(first.callers, "POST", "/unknown/", "x").await, 404);
+
+            store.put("op/config", &config(7, "desk"));
+            let mut moved = 0;
+            loop {
+                let id = format!("moved-{moved}");
+                assert_eq!(status(first.callers, "POST", "/order/1", &id).await, 200);
+                if desk.runs(&id) == 1 {
+                    break;
+                }
+                moved += 1;
+                assert!(moved < LOOKS, "the version is never in force");
+                sleep(LOOK_PAUSE).await;
+            }
+            for number in 0..10 {
+                let id = format!("after-{number}");
+                assert_eq!(status(first.callers, "POST", "/order/1", &id).await, 200);
+                assert_eq!((press.runs(&id), desk.runs(&id)), (0, 1), "no way back");
+            }
+
+            press.drain(first.heartbeats).await;
+            for number in 0..5 {
+                let id = format!("late-{number}");
+                let answer = send(second.callers, "POST", "/press/1", &id).await;
+                let answer = answer.expect("an answer");
+                assert_eq!(answer.head.status, 503);
+                assert!(answer.header("retry-after").is_some());
+                assert_eq!(press.runs(&id), 0);
+            }
+
+            let pid = second.child.id().to_string();
+            let sent = Command::new("kill").args(["-TERM", &pid]).status();
+            assert!(sent.expect("a signal").success());
+            let mut ended = None;
+            for _ in 0..LOOKS {
+                ended = second.child.try_wait().expect("a child");
+                if ended.is_some() {
+                    break;
+                }
+                sleep(LOOK_PAUSE).await;
+            }
+            assert!(ended.expect("the node ends").success());
+        })
+        .await;
+}
