Leave silent nodes out as data centres, probe them, and use them again

Cause: a node that was asked and stayed silent was left out until it sent something of its own, which may be never; and a cut of a data centre cost a call at each of its targets. Ruled out: pings on all links (bytes between data centres are the dearest price). Tests in silent_nodes.rs play a silent target with the clock.

--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -57,6 +57,8 @@
     pub(crate) dispatches: HashMap<u64, u64>,
     pub(crate) wakes: BTreeSet<(Instant, u64)>,
     pub(crate) heard: HashMap<NodeId, Instant>,
+    /// Silent nodes with the times of their next probes.
+    pub(crate) suspects: BTreeMap<NodeId, Instant>,
     pub(crate) budgets: BTreeMap<String, RetryBudget>,
     pub(crate) saved_retries: f64,
     pub(crate) next_number: u64,
@@ -73,6 +75,7 @@
             dispatches: HashMap::new(),
             wakes: BTreeSet::new(),
             heard: HashMap::new(),
+            suspects: BTreeMap::new(),
             budgets: BTreeMap::new(),
             saved_retries: RetryBudget::SAVED_LIMIT,
             next_number: 1,
@@ -178,6 +181,7 @@
     pub fn on_heard(&mut self, node: NodeId, now: Instant) {
         self.heard.insert(node, now);
         self.board.heard(node);
+        self.suspects.remove(&node);
     }
 
     /// The link to a node broke: its calls are asked about on a fresh one at once.
@@ -244,11 +248,13 @@
             self.wakes.pop_first();
             self.wake(call, now);
         }
+        self.probe_suspects(now);
     }
 
     /// Next time at which [`Self::on_tick`] has something to do.
     pub fn next_wake(&self) -> Option<Instant> {
-        self.wakes.first().map(|(wake, _)| *wake)
+        let wake = self.wakes.first().map(|(wake, _)| *wake);
+        wake.into_iter().chain(self.next_probe()).min()
     }
 
     fn wake(&mut self, call: u64, now: Instant) {
@@ -278,7 +284,7 @@
         }
         let silent = self.heard.get(&node).is_none_or(|heard| *heard < since);
         if silent {
-            self.board.suspect(node);
+            self.suspect(node, now);
             self.actions.push(EntryAction::ResetLink(node));
         }
         self.ask(call, resets + 1, now);
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -8,6 +8,7 @@
 mod entry_call;
 mod entry_machine;
 mod entry_retries;
+mod entry_suspects;
 mod hold_times;
 mod key_ledger;
 mod owner_action;
--- a/crates/sequoiagw-policy/src/target_board.rs
+++ b/crates/sequoiagw-policy/src/target_board.rs
@@ -255,6 +255,29 @@
         Ok(chosen.clone())
     }
 
+    /// Whether a node offers any service.
+    pub fn is_target(&self, node: NodeId) -> bool {
+        self.services
+            .values()
+            .flatten()
+            .any(|info| info.node == node)
+    }
+
+    /// The other nodes of a node's data centre, unless that is the own one.
+    pub fn remote_mates(&self, node: NodeId) -> Vec<NodeId> {
+        let all = || self.services.values().flatten();
+        let centre = all()
+            .find(|info| info.node == node)
+            .map(|info| &info.data_centre);
+        let Some(centre) = centre.filter(|centre| **centre != self.data_centre) else {
+            return Vec::new();
+        };
+        all()
+            .filter(|info| info.data_centre == *centre && info.node != node)
+            .map(|info| info.node)
+            .collect()
+    }
+
     /// Notes that a node was heard.
     pub fn heard(&mut self, node: NodeId) {
         if let Some(view) = self.views.get_mut(&node) {
--- /dev/null
+++ b/crates/sequoiagw-policy/tests/silent_nodes.rs
@@ -0,0 +1,110 @@
+//! What an entry does about nodes that fall silent.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sequoiagw_policy::CallRequest;
+use sequoiagw_policy::CallSpec;
+use sequoiagw_policy::EntryAction;
+use sequoiagw_policy::EntryMachine;
+use sequoiagw_policy::PlacementRule;
+use sequoiagw_policy::TargetInfo;
+use sequoiagw_protocol::FrameBody;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::RankLevel;
+use tokio::time::Instant;
+
+/// Two targets in the south, one in the east; the entry is in the north.
+fn entry() -> EntryMachine {
+    let info = |node: u64, data_centre: &str| TargetInfo {
+        node: NodeId::from(node),
+        boot: 1,
+        data_centre: data_centre.to_owned(),
+        slots: 10,
+    };
+    let mut entry = EntryMachine::new("north", ChaCha8Rng::seed_from_u64(1));
+    let services = BTreeMap::from([
+        ("press".to_owned(), vec![info(1, "south")]),
+        ("desk".to_owned(), vec![info(2, "south"), info(3, "east")]),
+    ]);
+    entry.board_mut().set_targets(services);
+    entry
+}
+
+fn spec(service: &str) -> CallSpec {
+    CallSpec {
+        service: service.to_owned(),
+        route: "r".to_owned(),
+        level: RankLevel::MOST_URGENT,
+        idempotent: false,
+        retries: 0,
+        retry_budget: 0.0,
+        spill_load: 1.0,
+        timeout: Duration::from_secs(3),
+        placement: PlacementRule::Fastest,
+        aim: Duration::from_secs(1),
+        retries_errors: false,
+    }
+}
+
+/// Lets the time pass and returns the nodes to which messages went, dispatches apart.
+fn pass(entry: &mut EntryMachine, now: &mut Instant, millis: u64) -> (Vec<u64>, Vec<u64>) {
+    let (mut calls, mut others) = (Vec::new(), Vec::new());
+    for _ in 0..=millis / 10 {
+        entry.on_tick(*now);
+        for action in entry.take_actions() {
+            match action {
+                EntryAction::Send(node, FrameBody::Dispatch(_)) => calls.push(node.get()),
+                EntryAction::Send(node, _) => others.push(node.get()),
+                _ => {}
+            }
+        }
+        *now += Duration::from_millis(10);
+    }
+    (calls, others)
+}
+
+#[test]
+fn a_silent_node_brings_its_data_centre_under_suspicion_and_probes_clear_it() {
+    let mut now = Instant::now();
+    let mut entry = entry();
+    entry.begin(spec("press"), CallRequest::default(), now);
+    let (calls, others) = pass(&mut entry, &mut now, 700);
+    assert_eq!(calls, [1]);
+    assert!(
+        others.contains(&2),
+        "the other node of the data centre is probed: {others:?}"
+    );
+    assert!(
+        !others.contains(&3),
+        "another data centre isn't: {others:?}"
+    );
+
+    for _ in 0..5 {
+        entry.begin(spec("desk"), CallRequest::default(), now);
+    }
+    let (calls, _) = pass(&mut entry, &mut now, 10);
+    assert_eq!(calls, [3, 3, 3, 3, 3], "suspects get no calls");
+
+    entry.on_heard(NodeId::from(1), now);
+    entry.begin(spec("press"), CallRequest::default(), now);
+    let (calls, _) = pass(&mut entry, &mut now, 10);
+    assert_eq!(calls, [1], "a node that is heard is used again");
+}
+
+#[test]
+fn a_node_that_stays_silent_is_probed_until_it_is_heard() {
+    let mut now = Instant::now();
+    let mut entry = entry();
+    entry.begin(spec("press"), CallRequest::default(), now);
+    pass(&mut entry, &mut now, 4000);
+    let (_, probes) = pass(&mut entry, &mut now, 2000);
+    let count = probes.iter().filter(|node| **node == 1).count();
+    assert!((3..=5).contains(&count), "{probes:?}");
+    entry.on_heard(NodeId::from(1), now);
+    entry.on_heard(NodeId::from(2), now);
+    let (_, probes) = pass(&mut entry, &mut now, 2000);
+    assert!(probes.is_empty(), "{probes:?}");
+}
