--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -32,8 +32,6 @@
 const CONFIG_PAUSE: Duration = Duration::from_millis(900);
 /// Pause after changes of entries, so that changes that come together are read together.
 const NODES_PAUSE: Duration = Duration::from_millis(900);
-/// Longest pause after a failed call; the renewals of the lease are tried more often.
-const FAILURE_PAUSE: Duration = Duration::from_secs(2);
 /// Time between two digests of the entries.
 const DIGEST_PERIOD: Duration = Duration::from_millis(1300);
 /// Time without word from the store after which peers are asked for the configuration.
@@ -223,7 +221,7 @@
         self.health.failed(error);
         tokio::select! {
             _ = regained.changed() => {}
-            () = sleep(FAILURE_PAUSE) => {}
+            () = sleep(self.health.retry_pause()) => {}
         }
     }
 
--- a/crates/sequoiagw-mesh/src/store_health.rs
+++ b/crates/sequoiagw-mesh/src/store_health.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use sequoiagw_node::CounterBoard;
 use sequoiagw_store::StoreError;
@@ -10,6 +11,13 @@
 use tracing::info;
 use tracing::warn;
 
+/// Time for which calls have to have failed before they are made less often.
+const FIRST_FAILURES: Duration = Duration::from_secs(1);
+/// Pause after one of the first failures.
+const SHORT_PAUSE: Duration = Duration::from_millis(300);
+/// Pause while calls go on failing; the renewals of the lease are tried more often.
+const LONG_PAUSE: Duration = Duration::from_secs(2);
+
 /// What the calls to the store have shown; clones share it.
 #[derive(Clone)]
 pub struct StoreHealth {
@@ -53,6 +61,17 @@
         self.failing.get()
     }
 
+    /// Pause before a failed call is made again: short after a single failure, which may be
+    /// one connection's, and longer while calls go on failing.
+    pub fn retry_pause(&self) -> Duration {
+        let failing = self.failing.get().map(|since| since.elapsed());
+        if failing.is_some_and(|time| time > FIRST_FAILURES) {
+            LONG_PAUSE
+        } else {
+            SHORT_PAUSE
+        }
+    }
+
     /// Changes each time the store answers again. A question that was waiting at the store
     /// through an outage may never be answered and has to be asked anew.
     pub fn regained(&self) -> watch::Receiver<u64> {
