Keep a goodbye that comes before the node knows its backend server

Ruled out: the store (regained at 26.3 s), another node's dispatch (the owner alone decides). Before: the test's late heartbeat is served. After: lives of that name that began before the goodbye stay away, a later one serves.

--- a/crates/sequoiagw-mesh/src/local_edge.rs
+++ b/crates/sequoiagw-mesh/src/local_edge.rs
@@ -1,6 +1,8 @@
 //! The edge at which readiness is asked and the backend server's heartbeats arrive.
 
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use sequoiagw_http::serve_connection;
 use sequoiagw_http::HttpReply;
@@ -69,7 +71,7 @@
             LocalCall::Leave(instance) => {
                 info!(event = "backend_leaves", instance = %instance);
                 self.handle
-                    .with_core(|core, now| core.on_leave(&instance, now));
+                    .with_core(|core, now| core.on_leave(&instance, unix_ms(), now));
                 HttpReply::json(200, "{}")
             }
             LocalCall::Other(reply) => reply,
@@ -93,3 +95,9 @@
         }
     }
 }
+
+/// Time of day in Unix milliseconds, which backend servers on the same host read too.
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -206,9 +206,9 @@
         outcome
     }
 
-    /// The backend server is going.
-    pub fn on_leave(&mut self, instance: &str, now: Instant) {
-        self.target.on_leave(instance);
+    /// The backend server is going, at a time by the host's clock.
+    pub fn on_leave(&mut self, instance: &str, unix_ms: u64, now: Instant) {
+        self.target.on_leave(instance, unix_ms);
         self.offer_target(now);
     }
 
--- a/crates/sequoiagw-mesh/src/target_record.rs
+++ b/crates/sequoiagw-mesh/src/target_record.rs
@@ -78,7 +78,7 @@
     address: String,
     interval: Duration,
     current: Option<CurrentLife>,
-    /// A life that is known to have left, from before this process started.
+    /// A life that is known to have left, and with it all earlier ones of its name.
     left: Option<TargetLife>,
 }
 
@@ -121,7 +121,10 @@
         }
         let was_leaving = match &self.current {
             Some(current) if current.life == life => current.leaving,
-            _ => self.left.as_ref() == Some(&life),
+            _ => self
+                .left
+                .as_ref()
+                .is_some_and(|left| left.instance == life.instance && life.born_ms <= left.born_ms),
         };
         self.current = Some(CurrentLife {
             life,
@@ -134,15 +137,16 @@
         HeartbeatOutcome::Taken
     }
 
-    /// A backend server says that it is going, with no word of it before.
-    pub fn on_leave(&mut self, instance: &str) {
+    /// A backend server says that it is going, at a time in Unix milliseconds by the host's
+    /// clock. If nothing is known of it, lives of its name that began before are leaving.
+    pub fn on_leave(&mut self, instance: &str, unix_ms: u64) {
         match &mut self.current {
             Some(current) if current.life.instance == instance => current.leaving = true,
             Some(_) => {}
             None => {
                 self.left = Some(TargetLife {
                     instance: instance.to_owned(),
-                    born_ms: 0,
+                    born_ms: unix_ms,
                 });
             }
         }
--- a/crates/sequoiagw-mesh/tests/target_record.rs
+++ b/crates/sequoiagw-mesh/tests/target_record.rs
@@ -95,12 +95,26 @@
     let now = Instant::now();
     let mut record = record();
     record.on_heartbeat(&beat("a", 10, 1, HeartbeatPhase::Ready), now);
-    record.on_leave("another");
+    record.on_leave("another", 20);
     assert!(record.serving(now).is_some());
-    record.on_leave("a");
+    record.on_leave("a", 20);
     assert!(record.serving(now).is_none());
 }
 
+#[test]
+fn a_goodbye_heard_by_a_node_that_knew_nothing_holds_against_late_heartbeats() {
+    let now = Instant::now();
+    let mut record = record();
+    record.on_leave("a", 1000);
+    record.on_heartbeat(&beat("a", 10, 5, HeartbeatPhase::Ready), now);
+    assert!(record.serving(now).is_none(), "it began before its goodbye");
+    record.on_heartbeat(&beat("a", 1001, 1, HeartbeatPhase::Ready), now);
+    assert!(
+        record.serving(now).is_some(),
+        "started again under its name"
+    );
+}
+
 #[test]
 fn a_silent_backend_server_counts_as_gone_unless_it_answers() {
     let now = Instant::now();
