Judge a target by how long the call's own route runs there

Cause: entries took the hold that a target reports, an average over all its routes, for the time that any call takes there. Short nested calls (22 ms) were sent to other data centres because the target beside them runs orders of 150 ms too, and a target that was slow once kept its report for good, since nobody sent there any more. Ruled out before: shorter waits and faster hold averages, and a rule that stays in the data centre alone (both within noise).

Owners tell the run's own time with each answer; entries keep averages by route and target, which fade into the average of all targets. Answers of the own data centre within 0.6 of the aim are good enough for all but the most urgent calls: the caller is in its aim and the link is spared. A target's share of failures fades too.

--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -23,6 +23,7 @@
 
 use crate::entry_call::EntryCall;
 use crate::entry_call::EntryPhase;
+use crate::good_enough;
 use crate::remote_penalty;
 use crate::CallRequest;
 use crate::CallSpec;
@@ -155,6 +156,11 @@
             self.actions.push(EntryAction::LateAnswer);
             return;
         };
+        if answer.run_ms > 0 {
+            let time = Duration::from_millis(u64::from(answer.run_ms));
+            let route = &self.calls[&call].spec.route;
+            self.board.ran(from, route, time, now);
+        }
         let boot = self.calls[&call]
             .target
             .as_ref()
@@ -316,10 +322,12 @@
         };
         let request = PickRequest {
             service: &entry.spec.service,
+            route: &entry.spec.route,
             level: entry.spec.level,
             tried: &entry.tried,
             rule: entry.spec.placement,
             remote_penalty: remote_penalty(entry.spec.aim, entry.spec.level),
+            good_enough: good_enough(entry.spec.aim, entry.spec.level),
             aim: (entry.began + entry.spec.aim).saturating_duration_since(now),
             spill_load: entry.spec.spill_load,
             refuse_early: entry.tries == 0,
@@ -363,7 +371,7 @@
             return;
         }
         let failed = (500..600).contains(&served.status);
-        self.board.answered(from, failed);
+        self.board.answered(from, failed, now);
         if failed && self.try_past_failure(call, &served, now) {
             return;
         }
--- a/crates/sequoiagw-policy/src/hold_times.rs
+++ b/crates/sequoiagw-policy/src/hold_times.rs
@@ -28,10 +28,10 @@
         self.starts.insert(run, now);
     }
 
-    /// Notes the end of a run.
-    pub fn finish(&mut self, run: RunId, route: &str, now: Instant) {
+    /// Notes the end of a run; returns the time for which it held its slot.
+    pub fn finish(&mut self, run: RunId, route: &str, now: Instant) -> Duration {
         let Some(start) = self.starts.remove(&run) else {
-            return;
+            return Duration::ZERO;
         };
         let held = now.saturating_duration_since(start);
         self.mean = Some(averaged(self.mean, held));
@@ -43,6 +43,7 @@
                 self.routes.insert(route.to_owned(), after);
             }
         }
+        held
     }
 
     /// Average over all calls.
--- a/crates/sequoiagw-policy/src/owner_call.rs
+++ b/crates/sequoiagw-policy/src/owner_call.rs
@@ -1,5 +1,7 @@
 //! A call at the node that owns its target.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use sequoiagw_protocol::CallDispatch;
 use sequoiagw_protocol::CallOutcome;
@@ -91,6 +93,8 @@
     pub(crate) dispatch: CallDispatch,
     pub(crate) deadline: Instant,
     pub(crate) state: OwnerState,
+    /// Time for which it held its slot, zero until it has run.
+    pub(crate) held: Duration,
     /// Calls with the same key that wait for this one's answer.
     pub(crate) attached: Vec<CallId>,
 }
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -197,6 +197,7 @@
             dispatch,
             deadline,
             state,
+            held: Duration::ZERO,
             attached: Vec::new(),
         };
         let key = call.ledger_key();
@@ -341,11 +342,18 @@
             call: id.call,
             entry_boot: id.boot,
             load: Some(self.load(now)),
+            run_ms: self.run_ms(id),
             outcome: Some(outcome),
         };
         self.actions.push(OwnerAction::Answer(id.entry, answer));
     }
 
+    /// Time for which a call held its slot, in milliseconds rounded up; 0 if it didn't run.
+    fn run_ms(&self, id: CallId) -> u32 {
+        let held = self.calls.get(&id).map_or(Duration::ZERO, |call| call.held);
+        held.as_micros().div_ceil(1000) as u32
+    }
+
     fn bar(&mut self, id: CallId, now: Instant) {
         let until = now + BAR_MEMORY;
         if self.bars.insert(id, until).is_none() {
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -10,6 +10,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::good_enough;
 use crate::owner_call::OwnerCall;
 use crate::owner_call::OwnerState;
 use crate::remote_penalty;
@@ -82,7 +83,9 @@
         match dispatch.wait_rule() {
             WaitRule::Deadline => true,
             WaitRule::Prompt => {
-                wait <= remote_penalty(aim, level).max(PROMPT_WAIT) && answered <= aim.min(left)
+                let soon = wait <= remote_penalty(aim, level).max(PROMPT_WAIT);
+                let early = answered <= good_enough(aim, level);
+                (soon || early) && answered <= aim.min(left)
             }
             // A short call costs the queue little, and its caller may be a run that holds a
             // slot elsewhere: it may be late, but not in vain.
@@ -196,8 +199,9 @@
             return;
         };
         self.run_deadlines.retain(|(_, other)| *other != run);
-        let route = self.calls.get(&id).map(|call| call.dispatch.route.as_str());
-        self.holds.finish(run, route.unwrap_or_default(), now);
+        if let Some(call) = self.calls.get_mut(&id) {
+            call.held = self.holds.finish(run, &call.dispatch.route, now);
+        }
         match result {
             BackendResult::Answered { .. } => self.limiter.finish(),
             BackendResult::Shed => self.limiter.shed(now),
--- a/crates/sequoiagw-policy/src/placement_rule.rs
+++ b/crates/sequoiagw-policy/src/placement_rule.rs
@@ -28,3 +28,16 @@
         aim.mul_f64(REMOTE_PART)
     }
 }
+
+/// Part of a call's aim within which an answer of the own data centre is good enough.
+const NEAR_PART: f64 = 0.6;
+
+/// Time to an answer of the own data centre up to which no other one is weighed: the caller
+/// is served within its aim and the link is spared. None for the most urgent calls.
+pub fn good_enough(aim: Duration, level: RankLevel) -> Duration {
+    if level == RankLevel::MOST_URGENT {
+        Duration::ZERO
+    } else {
+        aim.mul_f64(NEAR_PART)
+    }
+}
--- a/crates/sequoiagw-policy/src/target_board.rs
+++ b/crates/sequoiagw-policy/src/target_board.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 
 use crate::PlacementRule;
+use crate::RunTimes;
 
 /// Age at which a load report counts for nothing.
 const REPORT_AGE: Duration = Duration::from_secs(1);
@@ -35,6 +36,8 @@
 const HOPELESS_AGE: Duration = Duration::from_millis(120);
 /// Weight of a new answer in a target's share of failures.
 const ERROR_WEIGHT: f64 = 0.1;
+/// Age at which a target's share of failures counts for nothing.
+const ERROR_AGE: Duration = Duration::from_secs(5);
 /// Time that a target which fails every call counts as slower.
 const ERROR_PENALTY: Duration = Duration::from_millis(800);
 
@@ -56,6 +59,8 @@
 pub struct PickRequest<'a> {
     /// Service.
     pub service: &'a str,
+    /// Route.
+    pub route: &'a str,
     /// Rank level.
     pub level: RankLevel,
     /// Targets tried already.
@@ -68,6 +73,8 @@
     pub rule: PlacementRule,
     /// Advantage in time by which a target in another data centre must be better.
     pub remote_penalty: Duration,
+    /// Time to an answer of the own data centre up to which no other one is weighed.
+    pub good_enough: Duration,
     /// Time left within which an answer is worth most.
     pub aim: Duration,
 }
@@ -85,6 +92,7 @@
     suspect: bool,
     /// Moving average of the share of answers that are failures.
     error_share: f64,
+    answered: Option<Instant>,
 }
 
 impl TargetView {
@@ -101,11 +109,11 @@
         busy.max(f64::from(self.in_flight)) / f64::from(slots.max(1))
     }
 
-    /// Expected time to an answer: the reported wait, fading with its age, a turn for each
-    /// call sent since, and the time for which a slot is held.
-    fn answer_time(&self, announced: u32, level: RankLevel, now: Instant) -> Duration {
+    /// Expected time until a slot is free: the reported wait, fading with its age, and a turn
+    /// for each call sent since.
+    fn slot_time(&self, announced: u32, level: RankLevel, now: Instant) -> Duration {
         let Some((report, time)) = &self.report else {
-            return FIRST_HOLD + self.failure_penalty();
+            return Duration::ZERO;
         };
         let hold = match report.hold_ms {
             0 => FIRST_HOLD,
@@ -116,12 +124,17 @@
         let free = f64::from(report.slots.saturating_sub(report.running));
         let over = (f64::from(self.sent_since_report) - free).max(0.0);
         let turn = hold.div_f64(f64::from(announced.max(1)));
-        let wait = report.wait(level).mul_f64(weight) + turn.mul_f64(over);
-        wait + hold + self.failure_penalty()
+        report.wait(level).mul_f64(weight) + turn.mul_f64(over)
     }
 
-    fn failure_penalty(&self) -> Duration {
-        ERROR_PENALTY.mul_f64(self.error_share)
+    /// Time by which failures make a target count as slower; it fades, so that a target which
+    /// has recovered gets work again.
+    fn failure_penalty(&self, now: Instant) -> Duration {
+        let age = self
+            .answered
+            .map_or(Duration::ZERO, |time| now.saturating_duration_since(time));
+        let weight = 1.0 - (age.as_secs_f64() / ERROR_AGE.as_secs_f64()).min(1.0);
+        ERROR_PENALTY.mul_f64(self.error_share * weight)
     }
 
     /// Whether a fresh report says that a call of this level would wait past `aim`.
@@ -151,6 +164,7 @@
     data_centre: String,
     services: BTreeMap<String, Vec<TargetInfo>>,
     views: HashMap<NodeId, TargetView>,
+    runs: RunTimes,
 }
 
 impl TargetBoard {
@@ -160,6 +174,7 @@
             data_centre: data_centre.to_owned(),
             services: BTreeMap::new(),
             views: HashMap::new(),
+            runs: RunTimes::default(),
         }
     }
 
@@ -168,6 +183,7 @@
         let present = |node: &NodeId| services.values().flatten().any(|info| info.node == *node);
         self.views
             .retain(|node, view| view.in_flight > 0 || present(node));
+        self.runs.retain(|node| present(&node));
         self.services = services;
     }
 
@@ -221,7 +237,8 @@
     }
 
     /// The target that is expected to answer first, among those not known to be full for
-    /// good; near equals are drawn, so that entries don't all choose the same one.
+    /// good; near equals are drawn, so that entries don't all choose the same one. The own
+    /// data centre's best one is taken if its answer comes early enough.
     fn fastest(
         &self,
         usable: &[&TargetInfo],
@@ -230,22 +247,22 @@
         now: Instant,
     ) -> Result<TargetInfo, ErrorKind> {
         let mut best: Option<(Duration, &TargetInfo)> = None;
+        let mut near: Option<(Duration, &TargetInfo)> = None;
         for info in usable {
             if self.refuses(info, request.level, now) {
                 continue;
             }
-            let mut time = self.views.get(&info.node).map_or(FIRST_HOLD, |view| {
-                view.answer_time(info.slots, request.level, now)
-            });
-            if info.data_centre != self.data_centre {
+            let spread = rng.random_range(0.95..1.05);
+            let mut time = self.answer_time(info, request, now).mul_f64(spread);
+            if info.data_centre == self.data_centre {
+                near = earlier(near, time, info);
+            } else {
                 time += request.remote_penalty;
             }
-            time = time.mul_f64(rng.random_range(0.95..1.05));
-            if best.is_none_or(|(least, _)| time < least) {
-                best = Some((time, info));
-            }
+            best = earlier(best, time, info);
         }
-        let Some((_, chosen)) = best else {
+        let near = near.filter(|(time, _)| *time <= request.good_enough);
+        let Some((_, chosen)) = near.or(best) else {
             return Err(ErrorKind::FleetOverloaded);
         };
         let view = self.views.get(&chosen.node);
@@ -255,6 +272,17 @@
         Ok(chosen.clone())
     }
 
+    /// Expected time to an answer: until a slot is free, the run itself, and what failures
+    /// add.
+    fn answer_time(&self, info: &TargetInfo, request: &PickRequest<'_>, now: Instant) -> Duration {
+        let run = self.runs.expected(info.node, request.route, now);
+        let run = run.unwrap_or(FIRST_HOLD);
+        let Some(view) = self.views.get(&info.node) else {
+            return run;
+        };
+        view.slot_time(info.slots, request.level, now) + run + view.failure_penalty(now)
+    }
+
     /// Whether a node offers any service.
     pub fn is_target(&self, node: NodeId) -> bool {
         self.services
@@ -290,9 +318,15 @@
         self.views.entry(node).or_default().suspect = true;
     }
 
+    /// Notes how long a call of a route held its slot at a target.
+    pub fn ran(&mut self, node: NodeId, route: &str, time: Duration, now: Instant) {
+        self.runs.note(node, route, time, now);
+    }
+
     /// Notes that a target answered, and whether its answer was a failure.
-    pub fn answered(&mut self, node: NodeId, failed: bool) {
+    pub fn answered(&mut self, node: NodeId, failed: bool, now: Instant) {
         let view = self.views.entry(node).or_default();
+        view.answered = Some(now);
         let seen = if failed { 1.0 } else { 0.0 };
         view.error_share += (seen - view.error_share) * ERROR_WEIGHT;
         view.failures = 0;
@@ -396,3 +430,14 @@
         Some(best)
     }
 }
+
+fn earlier<'a>(
+    best: Option<(Duration, &'a TargetInfo)>,
+    time: Duration,
+    info: &'a TargetInfo,
+) -> Option<(Duration, &'a TargetInfo)> {
+    match best {
+        Some((least, _)) if least <= time => best,
+        _ => Some((time, info)),
+    }
+}
--- a/crates/sequoiagw-policy/tests/target_board.rs
+++ b/crates/sequoiagw-policy/tests/target_board.rs
@@ -33,12 +33,14 @@
 fn request(level: u8) -> PickRequest<'static> {
     PickRequest {
         service: "press",
+        route: "order",
         level: RankLevel::new(level),
         tried: &[],
         spill_load: 1.5,
         refuse_early: true,
         rule: PlacementRule::Spill,
         remote_penalty: Duration::ZERO,
+        good_enough: Duration::ZERO,
         aim: Duration::from_secs(1),
     }
 }
@@ -236,7 +238,7 @@
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     let mut board = near_and_far();
     for _ in 0..20 {
-        board.answered(NodeId::from(1), true);
+        board.answered(NodeId::from(1), true, now);
     }
     let target = board.pick(&fastest_request(200, 600), &mut rng, now);
     assert_eq!(target.map(|info| info.node), Ok(NodeId::from(2)));
--- a/crates/sequoiagw-protocol/src/call_message.rs
+++ b/crates/sequoiagw-protocol/src/call_message.rs
@@ -171,6 +171,9 @@
     /// Load of the target.
     #[prost(message, optional, tag = "3")]
     pub load: Option<LoadReport>,
+    /// Time for which the call held its slot, in milliseconds; 0 for one that didn't run.
+    #[prost(uint32, tag = "4")]
+    pub run_ms: u32,
     /// Outcome.
     #[prost(oneof = "CallOutcome", tags = "10, 11, 12, 13")]
     pub outcome: Option<CallOutcome>,
