Learn from a link's greeting which process answers

Cause: after many processes were killed, entries in the store name the dead ones until each node has written its own and a watcher has read it, a second and more. Ruled out: a later return of the backend servers; their heartbeats came within 0.1 s.

The greeting of each link names the boot of the process behind it; the directory takes it at once, and a call kept from a dead process goes to its successor without a pause or a failure.

--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -172,6 +172,9 @@
             CoreEvent::Frame { frame, bytes } => {
                 self.with_core(|core, now| core.on_frame(frame, bytes, now));
             }
+            CoreEvent::Greeted { node, boot } => {
+                self.with_core(|core, now| core.on_greeted(node, boot, now));
+            }
             CoreEvent::LinkLost(address) => {
                 self.with_core(|core, now| core.on_link_lost(address, now));
             }
