--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -172,9 +172,6 @@
             CoreEvent::Frame { frame, bytes } => {
                 self.with_core(|core, now| core.on_frame(frame, bytes, now));
             }
-            CoreEvent::Greeted { node, boot } => {
-                self.with_core(|core, now| core.on_greeted(node, boot, now));
-            }
             CoreEvent::LinkLost(address) => {
                 self.with_core(|core, now| core.on_link_lost(address, now));
             }
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -199,25 +199,15 @@
 
     /// A dispatch was never written to any link, so it can't have run.
     pub fn on_undelivered(&mut self, dispatch: u64, node: NodeId, now: Instant) {
-        let Some(call) = self.dispatched_to(dispatch, node) else {
-            return;
-        };
-        if self.has_restarted(call, node) {
-            // It was kept from a process that has followed the one it was meant for.
-            self.forget_last_tried(call);
-        } else {
+        if let Some(call) = self.dispatched_to(dispatch, node) {
             self.note_failure(node, now);
+            self.retry(
+                call,
+                ErrorKind::TargetMissing,
+                RetryReason::Undelivered,
+                now,
+            );
         }
-        let kind = ErrorKind::TargetMissing;
-        self.retry(call, kind, RetryReason::Undelivered, now);
-    }
-
-    /// Whether the target that a call was sent to runs in another process by now.
-    fn has_restarted(&self, call: u64, node: NodeId) -> bool {
-        let meant = self.calls[&call].target.as_ref().map(|target| target.boot);
-        self.board
-            .boot(node)
-            .is_some_and(|boot| Some(boot) != meant)
     }
 
     /// A question about a call couldn't be delivered: its node can't be reached now. An
--- a/crates/sequoiagw-policy/src/target_board.rs
+++ b/crates/sequoiagw-policy/src/target_board.rs
@@ -283,12 +283,6 @@
         view.slot_time(info.slots, request.level, now) + run + view.failure_penalty(now)
     }
 
-    /// Boot of a node that offers a service.
-    pub fn boot(&self, node: NodeId) -> Option<u64> {
-        let mut all = self.services.values().flatten();
-        all.find(|info| info.node == node).map(|info| info.boot)
-    }
-
     /// Whether a node offers any service.
     pub fn is_target(&self, node: NodeId) -> bool {
         self.services
