Log each decision about a request on standard output, serve metrics, tell a request's story

Logs went to standard error straight from the serving thread, successes and retries left no line, and there were no latencies anywhere. Now a bounded queue and a thread of its own write them (tracing-appender), lines about requests are bounded in number, what is dropped is counted and logged. Refusals, retries, abandoned calls, refusals at owners and failed runs all get a line with the inputs that decided them and their age; one in 32 successes does, the same ones on all nodes.

--- a/crates/sequoiagw-cli/src/commands/demo.rs
+++ b/crates/sequoiagw-cli/src/commands/demo.rs
@@ -2,12 +2,13 @@
 
 use clap::ArgMatches;
 use clap::Command;
+use sequoiagw_telemetry::start_logs;
+use sequoiagw_telemetry::LogOutput;
 use tokio::task::LocalSet;
 
 use crate::cli_error::CliError;
 use crate::command_entry::CommandEntry;
 use crate::demo_run::run_demo;
-use crate::log_setup::start_logs;
 
 pub(crate) const ENTRY: CommandEntry = CommandEntry {
     name: "demo",
@@ -22,7 +23,7 @@
 }
 
 fn run(_matches: &ArgMatches) -> Result<(), CliError> {
-    start_logs("error");
+    let _logs = start_logs("error", LogOutput::Error);
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
         .build()
--- a/crates/sequoiagw-cli/src/commands/mod.rs
+++ b/crates/sequoiagw-cli/src/commands/mod.rs
@@ -11,6 +11,7 @@
 mod exception_add;
 mod exception_list;
 mod exception_remove;
+mod explain;
 mod node;
 mod platform_node;
 mod settings_check;
@@ -29,6 +30,7 @@
             node::ENTRY,
             platform_node::ENTRY,
             status::ENTRY,
+            explain::ENTRY,
             demo::ENTRY,
             completions::ENTRY,
         ],
--- a/crates/sequoiagw-cli/src/commands/node.rs
+++ b/crates/sequoiagw-cli/src/commands/node.rs
@@ -8,10 +8,11 @@
 use clap::Command;
 use sequoiagw_node::run_node;
 use sequoiagw_node::NodeSettings;
+use sequoiagw_telemetry::start_logs;
+use sequoiagw_telemetry::LogOutput;
 
 use crate::cli_error::CliError;
 use crate::command_entry::CommandEntry;
-use crate::log_setup::start_logs;
 
 pub(crate) const ENTRY: CommandEntry = CommandEntry {
     name: "node",
@@ -40,6 +41,6 @@
         .unwrap_or_default();
     let settings =
         NodeSettings::from_file(&file).map_err(|error| CliError::Invalid(error.to_string()))?;
-    start_logs(&settings.log_level);
+    let _logs = start_logs(&settings.log_level, LogOutput::Standard);
     Ok(run_node(settings)?)
 }
--- a/crates/sequoiagw-cli/src/commands/platform_node.rs
+++ b/crates/sequoiagw-cli/src/commands/platform_node.rs
@@ -1,12 +1,16 @@
 //! `sequoiagw platform-node`
 
+use clap::value_parser;
+use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
 use sequoiagw_platform::run_platform_node;
+use sequoiagw_platform::NodeOptions;
+use sequoiagw_telemetry::start_logs;
+use sequoiagw_telemetry::LogOutput;
 
 use crate::cli_error::CliError;
 use crate::command_entry::CommandEntry;
-use crate::log_setup::start_logs;
 
 pub(crate) const ENTRY: CommandEntry = CommandEntry {
     name: "platform-node",
@@ -17,10 +21,23 @@
 fn build() -> Command {
     Command::new(ENTRY.name)
         .about("Run a node on the users' platform, with the settings that it provides")
-        .after_help("The platform names the settings file in the environment.")
+        .after_help(
+            "The platform names the settings file in the environment.\n\
+             Example: sequoiagw platform-node --metrics-port 9464",
+        )
+        .arg(
+            Arg::new("metrics-port")
+                .long("metrics-port")
+                .value_parser(value_parser!(u16))
+                .help("Port of the node's own address at which /metrics is served"),
+        )
 }
 
-fn run(_matches: &ArgMatches) -> Result<(), CliError> {
-    start_logs("info");
-    Ok(run_platform_node()?)
+fn run(matches: &ArgMatches) -> Result<(), CliError> {
+    let logs = start_logs("info", LogOutput::Standard);
+    let options = NodeOptions {
+        metrics_port: matches.get_one::<u16>("metrics-port").copied(),
+        dropped_lines: Box::new(move || logs.dropped()),
+    };
+    Ok(run_platform_node(options)?)
 }
--- a/crates/sequoiagw-cli/src/lib.rs
+++ b/crates/sequoiagw-cli/src/lib.rs
@@ -6,7 +6,6 @@
 mod command_entry;
 mod commands;
 mod demo_run;
-mod log_setup;
 mod output_format;
 mod program;
 
--- a/crates/sequoiagw-http/src/http_message.rs
+++ b/crates/sequoiagw-http/src/http_message.rs
@@ -62,6 +62,14 @@
         reply
     }
 
+    /// An answer with a plain text.
+    pub fn text(status: u16, text: &str) -> Self {
+        let mut reply = Self::empty(status);
+        reply.push_header("Content-Type", "text/plain; charset=utf-8");
+        reply.body = Bytes::copy_from_slice(text.as_bytes());
+        reply
+    }
+
     /// Adds a header.
     pub fn push_header(&mut self, name: &str, value: &str) {
         self.headers.push(HeaderField {
--- a/crates/sequoiagw-mesh/src/caller_edge.rs
+++ b/crates/sequoiagw-mesh/src/caller_edge.rs
@@ -11,16 +11,18 @@
 use sequoiagw_http::ServerPhase;
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
-use sequoiagw_policy::CallerReply;
 use sequoiagw_policy::PlacementRule;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::HeaderField;
 use sequoiagw_protocol::RanState;
+use sequoiagw_telemetry::REQUEST_TARGET;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tracing::info;
 use tracing::warn;
 
+use crate::call_log::CallLog;
 use crate::return_time;
 use crate::MeshHandle;
 use crate::MeshRoute;
@@ -115,9 +117,24 @@
             .map(Duration::from_millis);
         let spec = self.spec_of(&route, allowed);
         let call = self.call_of(request, &request_id);
-        let sent = spec.clone();
+        let log = CallLog {
+            request_id: &request_id,
+            route: &route,
+            service: spec.service.clone(),
+            allowed: spec.timeout,
+            version: version.number,
+            began: Instant::now(),
+        };
         let reply = self.handle.call(spec, call).await;
-        reply_of(reply, &request_id, &route, &sent, version.number)
+        log.end(&reply, &self.handle);
+        match reply.outcome {
+            Ok(answer) => HttpReply {
+                status: answer.status as u16,
+                headers: answer.headers,
+                body: answer.body,
+            },
+            Err(kind) => refusal(kind, Some(&route)),
+        }
     }
 
     fn spec_of(&self, route: &MeshRoute, allowed: Option<Duration>) -> CallSpec {
@@ -170,36 +187,15 @@
 
     fn refuse(&self, kind: ErrorKind, request_id: &str, route: &str, version: u64) -> HttpReply {
         self.handle.counters().refused(kind.rule().name);
-        info!(event = "call_refused", request = request_id, reason = %kind, route, version);
+        info!(
+            target: REQUEST_TARGET,
+            event = "call_refused", request = request_id, reason = kind.rule().name,
+            ran = %kind.rule().ran, tries = 0, route, version
+        );
         refusal(kind, None)
     }
 }
 
-/// Answer to a call that was made; one that no backend server answered is logged.
-fn reply_of(
-    reply: CallerReply,
-    request_id: &str,
-    route: &MeshRoute,
-    spec: &CallSpec,
-    version: u64,
-) -> HttpReply {
-    match reply.outcome {
-        Ok(answer) => HttpReply {
-            status: answer.status as u16,
-            headers: answer.headers,
-            body: answer.body,
-        },
-        Err(kind) => {
-            info!(
-                event = "call_refused", request = request_id, reason = %kind,
-                ran = %kind.rule().ran, tries = reply.tries, route = %route.name, level = %route.level,
-                allowed_ms = spec.timeout.as_millis() as u64, service = %spec.service, version
-            );
-            refusal(kind, Some(route))
-        }
-    }
-}
-
 /// Answer to a request that a backend server didn't answer.
 fn refusal(kind: ErrorKind, route: Option<&MeshRoute>) -> HttpReply {
     let rule = kind.rule();
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -23,6 +23,15 @@
         self.settle(now);
     }
 
+    /// A link stands. A process that has started since its node's entry was written shows its
+    /// boot here first, long before its new entry comes through the store.
+    pub fn on_greeted(&mut self, node: NodeId, boot: u64, now: Instant) {
+        if self.directory.restarted(node, boot) {
+            self.counters.count("directory.restarted");
+            self.directory_changed(now);
+        }
+    }
+
     /// A link broke after it stood.
     pub fn on_link_lost(&mut self, address: NodeAddress, now: Instant) {
         self.counters.count("link.lost");
--- a/crates/sequoiagw-mesh/src/core_settle.rs
+++ b/crates/sequoiagw-mesh/src/core_settle.rs
@@ -1,6 +1,8 @@
 //! Settling what the machines want of each other.
 
 use prost::Message;
+use sequoiagw_node::log_refusal;
+use sequoiagw_node::log_retry;
 use sequoiagw_policy::EntryAction;
 use sequoiagw_policy::OwnerAction;
 use sequoiagw_protocol::FrameBody;
@@ -46,8 +48,8 @@
                     }
                     self.actions.push(MeshAction::Reply(call, reply));
                 }
-                EntryAction::Retried(reason) => {
-                    self.counters.count(&format!("retried.{}", reason.name()));
+                EntryAction::Retried(note) => {
+                    log_retry(&note, &self.counters, |node| self.directory.name(node));
                 }
                 EntryAction::BudgetSpent => self.counters.count("retry.budget_spent"),
                 EntryAction::LateAnswer => self.counters.count("answer.late"),
@@ -67,10 +69,7 @@
                 OwnerAction::Abort(run) => self.actions.push(MeshAction::Abort(run)),
                 // Calls carry no keys here, so nothing is claimed.
                 OwnerAction::Claim(_, _) => self.counters.count("claim.unexpected"),
-                OwnerAction::Refused(kind) => {
-                    self.counters
-                        .count(&format!("owner_refused.{}", kind.rule().name));
-                }
+                OwnerAction::Refused(note) => log_refusal(&note, &self.counters),
             }
         }
         idle
--- a/crates/sequoiagw-mesh/src/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/src/fleet_directory.rs
@@ -80,6 +80,17 @@
         before.is_none_or(|before| before.entry != now.entry || before.lapsed.is_some())
     }
 
+    /// A known node runs in a process with this boot; tells whether that is news. What its
+    /// predecessor offered is taken to hold until its own entry comes.
+    pub fn restarted(&mut self, node: NodeId, boot: u64) -> bool {
+        let Some(listed) = self.nodes.get_mut(&node) else {
+            return false;
+        };
+        let is_news = listed.entry.boot != boot;
+        listed.entry.boot = boot;
+        is_news
+    }
+
     /// An entry is gone from the store since a revision.
     pub fn remove(&mut self, node: NodeId, revision: u64, now: Instant) {
         if let Some(listed) = self.nodes.get_mut(&node) {
@@ -141,6 +152,12 @@
         self.nodes.get(&node).map(|listed| listed.address)
     }
 
+    /// Name of a node.
+    pub fn name(&self, node: NodeId) -> Option<String> {
+        let listed = self.nodes.get(&node)?;
+        Some(listed.entry.name.clone())
+    }
+
     /// Nodes at an address.
     pub fn nodes_at(&self, address: NodeAddress) -> Vec<NodeId> {
         let here = self
--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -3,6 +3,7 @@
 //! [`MeshCore`] joins the decisions and does no I/O; [`MeshHandle`] runs it on the current
 //! thread's runtime. What the platform calls things stays behind [`PlatformWire`].
 
+mod call_log;
 mod caller_edge;
 mod core_directory;
 mod core_frames;
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -128,11 +128,7 @@
         };
         let reply = receiver.await;
         guard.call = None;
-        reply.unwrap_or(CallerReply {
-            outcome: Err(ErrorKind::TargetLost),
-            tries: 0,
-            level,
-        })
+        reply.unwrap_or_else(|_| CallerReply::untried(ErrorKind::TargetLost, level))
     }
 
     /// Looks at the core.
@@ -172,6 +168,9 @@
             CoreEvent::Frame { frame, bytes } => {
                 self.with_core(|core, now| core.on_frame(frame, bytes, now));
             }
+            CoreEvent::Greeted { node, boot } => {
+                self.with_core(|core, now| core.on_greeted(node, boot, now));
+            }
             CoreEvent::LinkLost(address) => {
                 self.with_core(|core, now| core.on_link_lost(address, now));
             }
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -21,6 +21,7 @@
 use tokio::time::sleep;
 use tokio::time::Instant;
 use tracing::info;
+use tracing::warn;
 
 use crate::CallerEdge;
 use crate::EntryKeeper;
@@ -40,6 +41,8 @@
 const LAST_CALL_TIME: Duration = Duration::from_millis(1600);
 /// Time kept back at the end of the grace period.
 const GRACE_RESERVE: Duration = Duration::from_millis(700);
+/// Time between two reports of dropped log lines.
+const DROPPED_PERIOD: Duration = Duration::from_secs(5);
 /// Time between two looks whether all work is done.
 const LEAVE_PERIOD: Duration = Duration::from_millis(50);
 
@@ -49,6 +52,8 @@
     pub store: Rc<dyn PollingStore>,
     /// The platform's names and formats.
     pub wire: Rc<dyn PlatformWire>,
+    /// Number of log lines dropped so far.
+    pub dropped_lines: Box<dyn Fn() -> u64>,
 }
 
 /// Runs a node until SIGTERM or SIGINT and the end of its work.
@@ -70,6 +75,7 @@
     let caller_listener = bind("caller address", settings.caller_address).await?;
     let ready_listener = bind("readiness address", settings.ready_address).await?;
     let beat_listener = bind("heartbeat address", settings.heartbeat_address).await?;
+    let metrics_listener = bind_metrics(settings.metrics_address).await;
     let boot = rand::rng().random_range(1..u64::MAX);
     let (events, receiver) = mpsc::unbounded_channel();
     let node = NodeId::from_name(&settings.name);
@@ -94,6 +100,10 @@
     tokio::task::spawn_local(async move { links.accept(peer_listener).await });
     tokio::task::spawn_local(callers.clone().accept(caller_listener));
     tokio::task::spawn_local(local.clone().accept(ready_listener));
+    if let Some(listener) = metrics_listener {
+        tokio::task::spawn_local(local.clone().accept(listener));
+    }
+    tokio::task::spawn_local(report_dropped_lines(edges.dropped_lines, handle.counters()));
     tokio::task::spawn_local(local.accept(beat_listener));
     tokio::task::spawn_local(follower.clone().ask_peers());
     tokio::task::spawn_local(follower.clone().follow_config());
@@ -118,6 +128,35 @@
         .wrap_err_with(|| format!("the {what} {address} can't be bound"))
 }
 
+/// Binds the metrics address. A node without metrics serves all the same.
+async fn bind_metrics(address: Option<SocketAddr>) -> Option<TcpListener> {
+    match TcpListener::bind(address?).await {
+        Ok(listener) => Some(listener),
+        Err(error) => {
+            warn!(event = "metrics_unavailable", error = %error);
+            None
+        }
+    }
+}
+
+/// Logs and counts at intervals how many lines were dropped since the last time.
+async fn report_dropped_lines(dropped: Box<dyn Fn() -> u64>, counters: CounterBoard) {
+    let mut known = 0;
+    loop {
+        sleep(DROPPED_PERIOD).await;
+        let count = dropped();
+        if count > known {
+            counters.add("log.dropped_lines", count - known);
+            warn!(
+                event = "log_lines_dropped",
+                count = count - known,
+                total = count
+            );
+            known = count;
+        }
+    }
+}
+
 /// Waits for SIGTERM or SIGINT; a SIGHUP is logged and changes nothing, since nothing that
 /// a running node uses is read from the settings again.
 async fn wait_for_end() -> eyre::Result<()> {
--- a/crates/sequoiagw-mesh/src/mesh_settings.rs
+++ b/crates/sequoiagw-mesh/src/mesh_settings.rs
@@ -18,6 +18,8 @@
     pub ready_address: SocketAddr,
     /// Address for the backend server's heartbeats.
     pub heartbeat_address: SocketAddr,
+    /// Address at which metrics are served, if any.
+    pub metrics_address: Option<SocketAddr>,
     /// Backend server beside this node.
     pub backend: BackendSettings,
     /// Time in which a process has to end after it was told to.
--- a/crates/sequoiagw-mesh/src/platform_wire.rs
+++ b/crates/sequoiagw-mesh/src/platform_wire.rs
@@ -30,6 +30,8 @@
 pub enum LocalCall {
     /// Whether the node is ready.
     Readiness,
+    /// Counters and latencies.
+    Metrics,
     /// A backend server's heartbeat.
     Heartbeat(Box<Heartbeat>),
     /// A backend server is going.
--- a/crates/sequoiagw-mesh/tests/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/tests/fleet_directory.rs
@@ -25,6 +25,22 @@
     None
 }
 
+#[test]
+fn a_process_that_greets_is_known_before_its_entry_comes() {
+    let mut directory = FleetDirectory::default();
+    directory.put(entry("a", 1), 5);
+    let node = NodeId::from_name("a");
+    assert!(directory.restarted(node, 2));
+    assert!(!directory.restarted(node, 2), "it is no news twice");
+    let target = &directory.targets()["press"][0];
+    assert_eq!((target.boot, target.slots), (2, 12));
+    assert!(
+        !directory.put(entry("a", 1), 5),
+        "the old entry read again changes nothing"
+    );
+    assert!(!directory.restarted(NodeId::from_name("b"), 1));
+}
+
 #[test]
 fn an_entry_that_lapsed_in_an_outage_is_used_until_it_could_be_back() {
     let now = Instant::now();
--- a/crates/sequoiagw-node/src/core_event.rs
+++ b/crates/sequoiagw-node/src/core_event.rs
@@ -3,6 +3,7 @@
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::RunId;
 use sequoiagw_protocol::NodeAddress;
+use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PeerFrame;
 use sequoiagw_store::StoreError;
 use sequoiagw_store::StoreReply;
@@ -36,6 +37,13 @@
         /// Length in bytes.
         bytes: usize,
     },
+    /// A link to a peer stands, and the process at its other end has this boot.
+    Greeted {
+        /// Peer.
+        node: NodeId,
+        /// Boot of its process.
+        boot: u64,
+    },
     /// A link to a peer broke after it stood.
     LinkLost(NodeAddress),
     /// No link could be made, so these frames were never written.
--- a/crates/sequoiagw-node/src/core_settle.rs
+++ b/crates/sequoiagw-node/src/core_settle.rs
@@ -16,6 +16,8 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::log_refusal;
+use crate::log_retry;
 use crate::CoreAction;
 use crate::NodeCore;
 use crate::StoreTag;
@@ -158,8 +160,10 @@
                     }
                     self.actions.push(CoreAction::Reply(call, reply));
                 }
-                EntryAction::Retried(reason) => {
-                    self.counters.count(&format!("retried.{}", reason.name()));
+                EntryAction::Retried(note) => {
+                    let member = |node| self.membership.table().get(node);
+                    let name_of = |node| member(node).map(|record| record.name.clone());
+                    log_retry(&note, &self.counters, name_of);
                 }
                 EntryAction::BudgetSpent => self.counters.count("retry.budget_spent"),
                 EntryAction::LateAnswer => self.counters.count("answer.late"),
@@ -178,10 +182,7 @@
                 OwnerAction::Run(request) => self.actions.push(CoreAction::Run(request)),
                 OwnerAction::Abort(run) => self.actions.push(CoreAction::Abort(run)),
                 OwnerAction::Claim(claim, tries) => self.claim(claim, tries, now),
-                OwnerAction::Refused(kind) => {
-                    self.counters
-                        .count(&format!("owner_refused.{}", kind.rule().name));
-                }
+                OwnerAction::Refused(note) => log_refusal(&note, &self.counters),
             }
         }
         idle
--- a/crates/sequoiagw-node/src/counter_board.rs
+++ b/crates/sequoiagw-node/src/counter_board.rs
@@ -9,62 +9,26 @@
 use std::time::Duration;
 
 use cadence::Counted;
-use cadence::MetricSink;
 use cadence::StatsdClient;
 use cadence::Timed;
 use cadence::UdpMetricSink;
 use sequoiagw_protocol::FrameKind;
+use sequoiagw_telemetry::metrics_text;
+use sequoiagw_telemetry::LatencySeries;
+use sequoiagw_telemetry::LatencyTable;
 
 /// Prefix of all metrics.
 const METRIC_PREFIX: &str = "sequoiagw";
 
 type CounterTotals = Arc<Mutex<BTreeMap<String, u64>>>;
 
-/// Sink that adds counters up and passes every metric on.
-#[derive(Debug)]
-struct TotalsSink {
-    totals: CounterTotals,
-    forward: Option<UdpMetricSink>,
-}
-
-impl MetricSink for TotalsSink {
-    fn emit(&self, metric: &str) -> io::Result<usize> {
-        if let Some((name, count)) = counted(metric) {
-            if let Ok(mut totals) = self.totals.lock() {
-                *totals.entry(name.to_owned()).or_default() += count;
-            }
-        }
-        match &self.forward {
-            Some(sink) => sink.emit(metric),
-            None => Ok(metric.len()),
-        }
-    }
-}
-
-/// Name and count of a counter's line, `sequoiagw.name:1|c`.
-fn counted(metric: &str) -> Option<(&str, u64)> {
-    let (name, rest) = metric
-        .strip_prefix(METRIC_PREFIX)?
-        .strip_prefix('.')?
-        .split_once(':')?;
-    let (count, kind) = rest.split_once('|')?;
-    if !kind.starts_with('c') {
-        return None;
-    }
-    Some((name, count.parse().ok()?))
-}
-
-/// The node's counters.
-#[derive(Clone, Debug)]
+/// The node's counters and latencies; clones share them.
+#[derive(Clone, Debug, Default)]
 pub struct CounterBoard {
     totals: CounterTotals,
-    client: Arc<StatsdClient>,
-}
-
-impl Default for CounterBoard {
-    fn default() -> Self {
-        Self::build(None)
-    }
+    latencies: Arc<Mutex<LatencyTable>>,
+    /// Passes everything on to a `StatsD` server.
+    client: Option<Arc<StatsdClient>>,
 }
 
 impl CounterBoard {
@@ -75,17 +39,11 @@
         let socket = UdpSocket::bind("0.0.0.0:0")?;
         socket.set_nonblocking(true)?;
         let sink = UdpMetricSink::from(address, socket).map_err(io::Error::other)?;
-        Ok(Self::build(Some(sink)))
-    }
-
-    fn build(forward: Option<UdpMetricSink>) -> Self {
-        let totals = CounterTotals::default();
-        let sink = TotalsSink {
-            totals: Arc::clone(&totals),
-            forward,
-        };
-        let client = Arc::new(StatsdClient::from_sink(METRIC_PREFIX, sink));
-        Self { totals, client }
+        let client = StatsdClient::from_sink(METRIC_PREFIX, sink);
+        Ok(Self {
+            client: Some(Arc::new(client)),
+            ..Self::default()
+        })
     }
 
     /// Adds one.
@@ -95,7 +53,19 @@
 
     /// Adds `count`.
     pub fn add(&self, name: &str, count: u64) {
-        let _ = self.client.count(name, count);
+        // Nothing panics while the lock is held, so it is never poisoned.
+        if let Ok(mut totals) = self.totals.lock() {
+            match totals.get_mut(name) {
+                Some(total) => *total += count,
+                None => {
+                    totals.insert(name.to_owned(), count);
+                }
+            }
+        }
+        if let Some(client) = &self.client {
+            // The server may be away; the totals here are kept all the same.
+            let _ = client.count(name, count);
+        }
     }
 
     /// Counts a refusal by its reason.
@@ -105,12 +75,27 @@
 
     /// Counts the bytes of a frame that was sent or received.
     pub fn frame_bytes(&self, kind: FrameKind, bytes: usize) {
-        self.add(&format!("bytes.{kind}"), bytes as u64);
+        self.add(bytes_counter(kind), bytes as u64);
+    }
+
+    /// Notes a latency.
+    pub fn latency(&self, series: &LatencySeries, latency: Duration) {
+        if let Ok(mut latencies) = self.latencies.lock() {
+            latencies.note(series, latency);
+        }
+        if let Some(client) = &self.client {
+            let name = format!("{}.{}.{}", series.name, series.level, series.outcome);
+            let _ = client.time(&name, latency);
+        }
     }
 
-    /// Notes the latency of a call.
-    pub fn latency(&self, rank: &str, latency: Duration) {
-        let _ = self.client.time(&format!("latency.{rank}"), latency);
+    /// All counters and latencies as text.
+    pub fn page(&self) -> String {
+        let totals = self.totals();
+        let page = |latencies: &LatencyTable| metrics_text(&totals, latencies);
+        self.latencies
+            .lock()
+            .map_or_else(|_| String::new(), |latencies| page(&latencies))
     }
 
     /// Total of one counter.
@@ -128,3 +113,15 @@
             .unwrap_or_default()
     }
 }
+
+/// Name of the counter of a kind of traffic.
+const fn bytes_counter(kind: FrameKind) -> &'static str {
+    match kind {
+        FrameKind::Probe => "bytes.probe",
+        FrameKind::Table => "bytes.table",
+        FrameKind::Config => "bytes.config",
+        FrameKind::Version => "bytes.version",
+        FrameKind::Call => "bytes.call",
+        FrameKind::Claim => "bytes.claim",
+    }
+}
--- a/crates/sequoiagw-node/src/http_edge.rs
+++ b/crates/sequoiagw-node/src/http_edge.rs
@@ -30,6 +30,7 @@
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::RanState;
 use sequoiagw_protocol::ServedAnswer;
+use sequoiagw_telemetry::LatencySeries;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
@@ -50,6 +51,7 @@
 use crate::http_headers::RAN_HEADER;
 use crate::http_headers::REPLAYED_HEADER;
 use crate::http_headers::REQUEST_ID_HEADER;
+use crate::outcome_name;
 use crate::problem_body::PROBLEM_TYPE;
 use crate::CounterBoard;
 use crate::NodeHandle;
@@ -180,21 +182,33 @@
         let started = Instant::now();
         let request_id =
             header(&request, REQUEST_ID_HEADER).map_or_else(new_request_id, str::to_owned);
-        let (response, rank) = match self.begin(request, &request_id, peer).await {
+        let (response, series) = match self.begin(request, &request_id, peer).await {
             Ok((spec, call_request)) => {
+                let route = spec.route.clone();
                 let reply = self.handle.call(spec, call_request).await;
-                let rank = reply.level.to_string();
-                (reply_response(reply), rank)
+                let series = LatencySeries {
+                    name: "call",
+                    route,
+                    level: reply.level.get(),
+                    outcome: outcome_name(reply.outcome.as_ref().err()),
+                };
+                (reply_response(reply), series)
             }
             Err(refusal) => {
                 self.counters.refused(refusal.kind.rule().name);
+                let series = LatencySeries {
+                    name: "call",
+                    route: String::new(),
+                    level: 0,
+                    outcome: outcome_name(Some(&refusal.kind)),
+                };
                 (
                     refusal_response(refusal.kind, refusal.detail.as_deref()),
-                    "none".to_owned(),
+                    series,
                 )
             }
         };
-        self.counters.latency(&rank, started.elapsed());
+        self.counters.latency(&series, started.elapsed());
         with_request_id(response, &request_id)
     }
 
--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -238,6 +238,8 @@
     pub fn handle(&mut self, event: CoreEvent, now: Instant) {
         match event {
             CoreEvent::Frame { frame, bytes } => self.on_frame(frame, bytes, now),
+            // Members announce their boots themselves here.
+            CoreEvent::Greeted { .. } => {}
             CoreEvent::LinkLost(address) => {
                 self.counters.count("link.lost");
                 for node in self.nodes_at(address) {
--- a/crates/sequoiagw-node/src/tcp_links.rs
+++ b/crates/sequoiagw-node/src/tcp_links.rs
@@ -163,6 +163,10 @@
             return None;
         };
         let address = NodeAddress::parse(&hello.address)?;
+        let _ = self.events.send(CoreEvent::Greeted {
+            node: frame.sender_id(),
+            boot: frame.boot,
+        });
         Some((
             reader,
             writer,
--- a/crates/sequoiagw-policy/src/entry_action.rs
+++ b/crates/sequoiagw-policy/src/entry_action.rs
@@ -4,7 +4,7 @@
 use sequoiagw_protocol::NodeId;
 
 use crate::CallerReply;
-use crate::RetryReason;
+use crate::RetryNote;
 
 /// What the entry wants done.
 #[derive(Clone, Debug)]
@@ -15,8 +15,8 @@
     ResetLink(NodeId),
     /// Answer the caller of a call.
     Reply(u64, CallerReply),
-    /// Count a retry.
-    Retried(RetryReason),
+    /// Count and log a retry.
+    Retried(Box<RetryNote>),
     /// Count a retry that the budget didn't allow.
     BudgetSpent,
     /// Count an answer that no call waits for.
--- a/crates/sequoiagw-policy/src/entry_call.rs
+++ b/crates/sequoiagw-policy/src/entry_call.rs
@@ -10,6 +10,7 @@
 use sequoiagw_protocol::ServedAnswer;
 use tokio::time::Instant;
 
+use crate::PlacementNote;
 use crate::PlacementRule;
 use crate::TargetInfo;
 
@@ -68,6 +69,26 @@
     pub tries: u32,
     /// Rank level under which the call was treated.
     pub level: RankLevel,
+    /// Where it was tried last, and why there.
+    pub placed: Option<PlacementNote>,
+    /// Time for which the answered call waited for its slot.
+    pub waited: Duration,
+    /// Time for which the answered call held its slot.
+    pub held: Duration,
+}
+
+impl CallerReply {
+    /// Reply to a call that was never tried.
+    pub fn untried(kind: ErrorKind, level: RankLevel) -> Self {
+        Self {
+            outcome: Err(kind),
+            tries: 0,
+            level,
+            placed: None,
+            waited: Duration::ZERO,
+            held: Duration::ZERO,
+        }
+    }
 }
 
 macro_rules! retry_reasons {
@@ -136,6 +157,12 @@
     pub(crate) doubt: Option<ErrorKind>,
     /// Tries that may have reached a backend server and count against the allowance.
     pub(crate) reached: u32,
+    /// Where it was tried last, and why there.
+    pub(crate) placed: Option<PlacementNote>,
+    /// Time for which it waited for its slot, as its owner told.
+    pub(crate) waited: Duration,
+    /// Time for which it held its slot, as its owner told.
+    pub(crate) held: Duration,
     /// Targets that had no room for the call.
     pub(crate) full: u32,
     /// A backend server's failure, kept as the answer unless a further try does better.
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -113,6 +113,12 @@
         }
     }
 
+    /// Request id of a call that isn't answered.
+    pub fn request_id(&self, call: u64) -> Option<&str> {
+        let entry = self.calls.get(&call)?;
+        Some(&entry.request.request_id)
+    }
+
     /// Number of calls that aren't answered.
     pub fn open_calls(&self) -> usize {
         self.calls.len()
@@ -135,6 +141,9 @@
             doubt: None,
             reached: 0,
             full: 0,
+            placed: None,
+            waited: Duration::ZERO,
+            held: Duration::ZERO,
             failure: None,
             began: now,
             dispatch: 0,
@@ -156,10 +165,10 @@
             self.actions.push(EntryAction::LateAnswer);
             return;
         };
-        if answer.run_ms > 0 {
-            let time = Duration::from_millis(u64::from(answer.run_ms));
-            let route = &self.calls[&call].spec.route;
-            self.board.ran(from, route, time, now);
+        if let Some(entry) = self.calls.get_mut(&call).filter(|_| answer.run_ms > 0) {
+            entry.held = Duration::from_millis(u64::from(answer.run_ms));
+            entry.waited = Duration::from_millis(u64::from(answer.wait_ms));
+            self.board.ran(from, &entry.spec.route, entry.held, now);
         }
         let boot = self.calls[&call]
             .target
@@ -199,15 +208,25 @@
 
     /// A dispatch was never written to any link, so it can't have run.
     pub fn on_undelivered(&mut self, dispatch: u64, node: NodeId, now: Instant) {
-        if let Some(call) = self.dispatched_to(dispatch, node) {
+        let Some(call) = self.dispatched_to(dispatch, node) else {
+            return;
+        };
+        if self.has_restarted(call, node) {
+            // It was kept from a process that has followed the one it was meant for.
+            self.forget_last_tried(call);
+        } else {
             self.note_failure(node, now);
-            self.retry(
-                call,
-                ErrorKind::TargetMissing,
-                RetryReason::Undelivered,
-                now,
-            );
         }
+        let kind = ErrorKind::TargetMissing;
+        self.retry(call, kind, RetryReason::Undelivered, now);
+    }
+
+    /// Whether the target that a call was sent to runs in another process by now.
+    fn has_restarted(&self, call: u64, node: NodeId) -> bool {
+        let meant = self.calls[&call].target.as_ref().map(|target| target.boot);
+        self.board
+            .boot(node)
+            .is_some_and(|boot| Some(boot) != meant)
     }
 
     /// A question about a call couldn't be delivered: its node can't be reached now. An
@@ -333,7 +352,13 @@
             refuse_early: entry.tries == 0,
         };
         match self.board.pick(&request, &mut self.rng, now) {
-            Ok(target) => self.send_to(call, target, false, now),
+            Ok(target) => {
+                let note = self.board.placement_note(&target, &request, now);
+                if let Some(entry) = self.calls.get_mut(&call) {
+                    entry.placed = Some(note);
+                }
+                self.send_to(call, target, false, now);
+            }
             Err(ErrorKind::TargetMissing) if !entry.tried.is_empty() => {
                 self.forget_tried(call, now);
             }
@@ -392,6 +417,9 @@
                 outcome,
                 tries: entry.tries,
                 level: entry.spec.level,
+                placed: entry.placed,
+                waited: entry.waited,
+                held: entry.held,
             };
             self.actions.push(EntryAction::Reply(call, reply));
         }
--- a/crates/sequoiagw-policy/src/entry_retries.rs
+++ b/crates/sequoiagw-policy/src/entry_retries.rs
@@ -14,6 +14,7 @@
 use crate::EntryAction;
 use crate::EntryMachine;
 use crate::PlacementRule;
+use crate::RetryNote;
 use crate::RetryReason;
 use crate::TargetInfo;
 
@@ -84,7 +85,7 @@
             self.reply(call, Err(kind));
             return;
         }
-        self.actions.push(EntryAction::Retried(reason));
+        self.note_retry(call, reason, Some(kind));
         self.release_target(call);
         if reason == RetryReason::IdempotentUnknown {
             self.note_doubt(call, kind);
@@ -120,8 +121,7 @@
             self.reply(call, Err(ErrorKind::QueueFull));
             return;
         }
-        self.actions
-            .push(EntryAction::Retried(RetryReason::TargetFull));
+        self.note_retry(call, RetryReason::TargetFull, None);
         self.release_target(call);
         // Its report, which came with the refusal, is compared with the others' now.
         self.forget_last_tried(call);
@@ -172,8 +172,7 @@
             data_centre: String::new(),
             slots: 0,
         };
-        self.actions
-            .push(EntryAction::Retried(RetryReason::KeyRedirected));
+        self.note_retry(call, RetryReason::KeyRedirected, None);
         self.send_to(call, claimant, true, now);
     }
 
@@ -210,6 +209,20 @@
         }
     }
 
+    fn note_retry(&mut self, call: u64, reason: RetryReason, kind: Option<ErrorKind>) {
+        let Some(entry) = self.calls.get(&call) else {
+            return;
+        };
+        let note = RetryNote {
+            request_id: entry.request.request_id.clone(),
+            reason,
+            kind,
+            placed: entry.placed,
+            tries: entry.tries,
+        };
+        self.actions.push(EntryAction::Retried(Box::new(note)));
+    }
+
     pub(crate) fn note_failure(&mut self, node: NodeId, now: Instant) {
         if self.board.failed(node, now) {
             self.actions.push(EntryAction::Ejected(node));
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! returns actions. Nothing here does I/O, starts a thread or holds global state.
 
 mod call_id;
+mod decision_note;
 mod entry_action;
 mod entry_call;
 mod entry_machine;
@@ -27,6 +28,9 @@
 
 pub use call_id::CallId;
 pub use call_id::RunId;
+pub use decision_note::PlacementNote;
+pub use decision_note::RefusalNote;
+pub use decision_note::RetryNote;
 pub use entry_action::EntryAction;
 pub use entry_call::CallRequest;
 pub use entry_call::CallSpec;
--- a/crates/sequoiagw-policy/src/owner_action.rs
+++ b/crates/sequoiagw-policy/src/owner_action.rs
@@ -1,10 +1,10 @@
 //! Actions of the owner.
 
 use sequoiagw_protocol::CallAnswer;
-use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::KeyClaim;
 use sequoiagw_protocol::NodeId;
 
+use crate::RefusalNote;
 use crate::RunId;
 use crate::RunRequest;
 
@@ -19,6 +19,6 @@
     Abort(RunId),
     /// Claim a key in the store; the number of tries before this one chooses the holder.
     Claim(KeyClaim, u32),
-    /// Count a call that was refused here.
-    Refused(ErrorKind),
+    /// Count and log a call that was refused here.
+    Refused(Box<RefusalNote>),
 }
--- a/crates/sequoiagw-policy/src/owner_call.rs
+++ b/crates/sequoiagw-policy/src/owner_call.rs
@@ -93,6 +93,10 @@
     pub(crate) dispatch: CallDispatch,
     pub(crate) deadline: Instant,
     pub(crate) state: OwnerState,
+    /// When it came.
+    pub(crate) came: Instant,
+    /// Time for which it waited for its slot, zero until it has one.
+    pub(crate) waited: Duration,
     /// Time for which it held its slot, zero until it has run.
     pub(crate) held: Duration,
     /// Calls with the same key that wait for this one's answer.
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -13,6 +13,7 @@
 use sequoiagw_protocol::LoadReport;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PendingAnswer;
+use sequoiagw_protocol::RankLevel;
 use tokio::time::Instant;
 
 use crate::owner_call::ledger_key;
@@ -25,6 +26,7 @@
 use crate::OwnerAction;
 use crate::OwnerSetup;
 use crate::RankQueue;
+use crate::RefusalNote;
 use crate::RunId;
 use crate::SlotLimiter;
 use crate::StartRates;
@@ -187,7 +189,7 @@
             return;
         }
         if let Some(kind) = self.reason_to_refuse(&dispatch) {
-            self.actions.push(OwnerAction::Refused(kind));
+            self.note_refusal(&dispatch, kind, now);
             self.send(id, CallOutcome::refused(kind), now);
             return;
         }
@@ -197,6 +199,8 @@
             dispatch,
             deadline,
             state,
+            came: now,
+            waited: Duration::ZERO,
             held: Duration::ZERO,
             attached: Vec::new(),
         };
@@ -308,7 +312,9 @@
 
     /// Refuses a call; what did not run leaves its key free to run here later.
     pub(crate) fn refuse(&mut self, id: CallId, kind: ErrorKind, now: Instant) {
-        self.actions.push(OwnerAction::Refused(kind));
+        if let Some(call) = self.calls.get(&id) {
+            self.note_refusal(&call.dispatch.clone(), kind, now);
+        }
         let key = self.calls.get(&id).and_then(OwnerCall::ledger_key);
         if let Some(key) = key {
             let held = matches!(
@@ -337,23 +343,32 @@
         }
     }
 
+    fn note_refusal(&mut self, dispatch: &CallDispatch, kind: ErrorKind, now: Instant) {
+        let level = RankLevel::new(dispatch.rank.min(7) as u8);
+        let note = RefusalNote {
+            request_id: dispatch.request_id.clone(),
+            kind,
+            level,
+            expected_wait: self.expected_wait(level, now),
+            waiting: self.queue.len(),
+            running: self.limiter.running(),
+            slots: self.limiter.allowed(),
+        };
+        self.actions.push(OwnerAction::Refused(Box::new(note)));
+    }
+
     fn send(&mut self, id: CallId, outcome: CallOutcome, now: Instant) {
         let answer = CallAnswer {
             call: id.call,
             entry_boot: id.boot,
             load: Some(self.load(now)),
-            run_ms: self.run_ms(id),
+            run_ms: self.calls.get(&id).map_or(0, |call| whole_ms(call.held)),
+            wait_ms: self.calls.get(&id).map_or(0, |call| whole_ms(call.waited)),
             outcome: Some(outcome),
         };
         self.actions.push(OwnerAction::Answer(id.entry, answer));
     }
 
-    /// Time for which a call held its slot, in milliseconds rounded up; 0 if it didn't run.
-    fn run_ms(&self, id: CallId) -> u32 {
-        let held = self.calls.get(&id).map_or(Duration::ZERO, |call| call.held);
-        held.as_micros().div_ceil(1000) as u32
-    }
-
     fn bar(&mut self, id: CallId, now: Instant) {
         let until = now + BAR_MEMORY;
         if self.bars.insert(id, until).is_none() {
@@ -396,3 +411,8 @@
         other => other,
     }
 }
+
+/// Milliseconds, rounded up, so that only what took no time at all is 0.
+fn whole_ms(time: Duration) -> u32 {
+    time.as_micros().div_ceil(1000) as u32
+}
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -172,6 +172,7 @@
         let run = RunId(self.next_run);
         self.next_run += 1;
         call.state = OwnerState::Running(run);
+        call.waited = now.saturating_duration_since(call.came);
         let grace = if call.dispatch.key.is_empty() {
             Duration::ZERO
         } else {
--- a/crates/sequoiagw-policy/src/target_board.rs
+++ b/crates/sequoiagw-policy/src/target_board.rs
@@ -12,6 +12,7 @@
 use sequoiagw_protocol::RankLevel;
 use tokio::time::Instant;
 
+use crate::PlacementNote;
 use crate::PlacementRule;
 use crate::RunTimes;
 
@@ -283,6 +284,27 @@
         view.slot_time(info.slots, request.level, now) + run + view.failure_penalty(now)
     }
 
+    /// Boot of a node that offers a service.
+    pub fn boot(&self, node: NodeId) -> Option<u64> {
+        let mut all = self.services.values().flatten();
+        all.find(|info| info.node == node).map(|info| info.boot)
+    }
+
+    /// What decided for a target, to be logged.
+    pub fn placement_note(
+        &self,
+        target: &TargetInfo,
+        request: &PickRequest<'_>,
+        now: Instant,
+    ) -> PlacementNote {
+        let report = self.views.get(&target.node).and_then(|view| view.report);
+        PlacementNote {
+            node: target.node,
+            expected: self.answer_time(target, request, now),
+            report_age: report.map(|(_, time)| now.saturating_duration_since(time)),
+        }
+    }
+
     /// Whether a node offers any service.
     pub fn is_target(&self, node: NodeId) -> bool {
         self.services
--- a/crates/sequoiagw-policy/tests/silent_nodes.rs
+++ b/crates/sequoiagw-policy/tests/silent_nodes.rs
@@ -108,3 +108,30 @@
     let (_, probes) = pass(&mut entry, &mut now, 2000);
     assert!(probes.is_empty(), "{probes:?}");
 }
+
+#[test]
+fn a_call_kept_from_a_restarted_process_goes_to_its_successor_at_once() {
+    let mut entry = entry();
+    let mut now = Instant::now();
+    entry.begin(spec("press"), CallRequest::default(), now);
+    let Some(EntryAction::Send(node, FrameBody::Dispatch(dispatch))) =
+        entry.take_actions().into_iter().next()
+    else {
+        panic!("no dispatch");
+    };
+    let successor = TargetInfo {
+        node,
+        boot: 2,
+        data_centre: "south".to_owned(),
+        slots: 10,
+    };
+    let services = BTreeMap::from([("press".to_owned(), vec![successor])]);
+    entry.board_mut().set_targets(services);
+    entry.on_undelivered(dispatch.call, node, now);
+    let sent = entry.take_actions().into_iter().any(|action| {
+        matches!(action, EntryAction::Send(_, FrameBody::Dispatch(dispatch)) if dispatch.target_boot == 2)
+    });
+    assert!(sent, "without a pause");
+    let (calls, _) = pass(&mut entry, &mut now, 50);
+    assert!(calls.is_empty(), "{calls:?}");
+}
--- a/crates/sequoiagw-protocol/src/call_message.rs
+++ b/crates/sequoiagw-protocol/src/call_message.rs
@@ -174,6 +174,9 @@
     /// Time for which the call held its slot, in milliseconds; 0 for one that didn't run.
     #[prost(uint32, tag = "4")]
     pub run_ms: u32,
+    /// Time for which it waited for a slot before, in milliseconds.
+    #[prost(uint32, tag = "5")]
+    pub wait_ms: u32,
     /// Outcome.
     #[prost(oneof = "CallOutcome", tags = "10, 11, 12, 13")]
     pub outcome: Option<CallOutcome>,
