Tell versions as deltas from watchers instead of reading them at every node

Ruled out: fewer, longer questions (a question is one call however long it waits); the calls are one for each change and node.

Two nodes of each data centre follow the store, as they did for the entries. They pass a change on as the routes that differ, to their data centre and to the watchers of the others; the receiver builds the next version beside the one in force, checks its digest and takes it whole, or asks for what leads from the version it holds. Digests come each 0.5 s and name the version in force; a node that hears none for 1.3 s follows the store itself, one that stays behind for 0.9 s reads it. Peers' offers use the same message, so versions no longer keep their source.

Tests hold what a delta contains, that it is applied whole or not at all, and when a node turns to the store.

--- a/crates/sequoiagw-membership/src/member_tables.rs
+++ b/crates/sequoiagw-membership/src/member_tables.rs
@@ -171,6 +171,7 @@
         let digest = TableDigest {
             hashes: self.table.table_hashes(),
             sender: None,
+            ..TableDigest::default()
         };
         let peers = self.near_peers();
         if let Some(peer) = peers.choose(&mut self.rng).copied() {
--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -2,8 +2,6 @@
 
 use std::collections::HashMap;
 
-use rand::Rng;
-use sequoiagw_protocol::ConfigFull;
 use sequoiagw_protocol::ConfigRequest;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::MemberRecord;
@@ -22,7 +20,7 @@
 /// Part of the fleet's extra repeats that nodes use, so that estimates of the number of
 /// nodes may be off.
 const EXTRA_PART: f64 = 0.6;
-/// Nodes of each data centre that watch the entries in the store for the others.
+/// Nodes of each data centre that watch the store for the others.
 const WATCHERS: usize = 2;
 
 impl MeshCore {
@@ -59,14 +57,14 @@
         }
     }
 
-    /// Whether this node watches the nodes' entries in the store.
-    pub fn watches_entries(&self, now: Instant) -> bool {
+    /// Whether this node watches the store for itself or for its data centre.
+    pub fn watches_store(&self, now: Instant) -> bool {
         self.is_watcher() || self.news.is_silent(now)
     }
 
     /// Whether the entries known differ for long from those that the watchers know.
-    pub fn doubts_entries(&mut self) -> bool {
-        self.news.take_doubt()
+    pub fn doubts_entries(&mut self, now: Instant) -> bool {
+        self.news.take_doubt(now)
     }
 
     /// Passes changes of entries on to the other nodes of the data centre.
@@ -91,13 +89,20 @@
         let digest = TableDigest {
             hashes: store_answers.then_some(hash).into_iter().collect(),
             sender: Some(own),
+            version: self.held_version(),
         };
         self.tell_data_centre(&FrameBody::Digest(digest), now);
     }
 
     pub(crate) fn is_watcher(&self) -> bool {
-        let listed = self.directory.listed_in(&self.settings.data_centre);
-        listed.take(WATCHERS).any(|node| node == self.node)
+        self.watchers_of(&self.settings.data_centre)
+            .contains(&self.node)
+    }
+
+    /// Nodes of a data centre that watch the store for it.
+    pub(crate) fn watchers_of(&self, data_centre: &str) -> Vec<NodeId> {
+        let listed = self.directory.listed_in(data_centre);
+        listed.take(WATCHERS).collect()
     }
 
     pub(crate) fn tell_data_centre(&mut self, body: &FrameBody, now: Instant) {
@@ -168,39 +173,6 @@
             }
         }
     }
-
-    /// Passes the configuration on to a peer that holds an older one.
-    pub(crate) fn offer_config(&mut self, to: NodeId, held: u64) {
-        let Some(version) = self.version.clone().filter(|own| own.number > held) else {
-            return;
-        };
-        let Ok(canonical) = String::from_utf8(version.source.to_vec()) else {
-            return;
-        };
-        let full = ConfigFull {
-            version: version.number,
-            canonical,
-            ..ConfigFull::default()
-        };
-        self.send(to, FrameBody::Full(full));
-    }
-
-    /// Asks a peer drawn at random for a configuration newer than the one in force.
-    pub fn ask_for_config(&mut self, now: Instant) {
-        let others: Vec<NodeId> = self.directory.boots().map(|(node, _)| node).collect();
-        if others.is_empty() {
-            return;
-        }
-        let node = others[self.rng.random_range(0..others.len())];
-        let held = self.version.as_ref().map_or(0, |held| held.number);
-        if node != self.node {
-            self.send(
-                node,
-                FrameBody::ConfigRequest(ConfigRequest { held, full: true }),
-            );
-        }
-        self.settle(now);
-    }
 }
 
 /// A message with records of nodes.
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -8,7 +8,6 @@
 
 use crate::core_directory::records_body;
 use crate::EntryChange;
-use crate::MeshAction;
 use crate::MeshCore;
 
 impl MeshCore {
@@ -68,7 +67,7 @@
             }
             FrameBody::Query(query) => self.owner.on_query(from, boot, query, now),
             FrameBody::Cancel(cancel) => self.owner.on_cancel(from, boot, cancel.call, now),
-            FrameBody::ConfigRequest(request) => self.offer_config(from, request.held),
+            FrameBody::ConfigRequest(request) => self.offer_version(from, request.held),
             FrameBody::Records(told) => {
                 let asked = !told.wanted.is_empty();
                 let records = told.records.into_iter();
@@ -86,14 +85,12 @@
                 for hash in told.hashes {
                     self.news.on_digest(hash.hash, own, now);
                 }
+                self.on_version_told(from, told.version, now);
                 if let Some(sender) = told.sender.filter(|_| self.version.is_none()) {
                     self.ask_to_join(from, sender, now);
                 }
             }
-            FrameBody::Full(full) => {
-                self.actions
-                    .push(MeshAction::ConfigOffered(full.canonical.into()));
-            }
+            FrameBody::VersionDelta(delta) => self.on_delta(from, &delta, now),
             _ => self.counters.count("frame.unexpected"),
         }
     }
--- a/crates/sequoiagw-mesh/src/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/src/fleet_directory.rs
@@ -1,6 +1,7 @@
 //! The nodes of the fleet, as their entries in the platform's store tell.
 
 use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sequoiagw_policy::TargetInfo;
@@ -176,6 +177,14 @@
             .map(|(node, _)| *node)
     }
 
+    /// Data centres with nodes whose entries are in the store.
+    pub fn data_centres(&self) -> BTreeSet<String> {
+        let listed = self.nodes.values().filter(|listed| listed.lapsed.is_none());
+        listed
+            .map(|listed| listed.entry.data_centre.clone())
+            .collect()
+    }
+
     /// Hash of the entries in the store, whatever their order.
     pub fn digest(&self) -> u64 {
         self.nodes
--- a/crates/sequoiagw-mesh/src/mesh_action.rs
+++ b/crates/sequoiagw-mesh/src/mesh_action.rs
@@ -21,6 +21,4 @@
     Reply(u64, CallerReply),
     /// The node's own entry in the store has to be written again.
     EntryChanged,
-    /// A peer has this newer configuration.
-    ConfigOffered(bytes::Bytes),
 }
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -50,6 +50,8 @@
     pub(crate) directory: FleetDirectory,
     pub(crate) target: TargetRecord,
     pub(crate) version: Option<Rc<MeshVersion>>,
+    /// Versions that were in force before, oldest first.
+    pub(crate) kept_versions: VecDeque<Rc<MeshVersion>>,
     pub(crate) splits: SplitTable,
     pub(crate) news: NewsRecord,
     pub(crate) boots: HashMap<NodeId, u64>,
@@ -81,6 +83,7 @@
             directory: FleetDirectory::default(),
             target: TargetRecord::new(&backend.service, &address, backend.heartbeat),
             version: None,
+            kept_versions: VecDeque::new(),
             splits: SplitTable::default(),
             news: NewsRecord::default(),
             boots: HashMap::new(),
@@ -159,23 +162,6 @@
         }
     }
 
-    /// Takes a version unless a newer one is in force; tells whether it is in force now.
-    pub fn take_version(&mut self, version: Rc<MeshVersion>) -> bool {
-        let held = self.version.as_ref().map_or(0, |held| held.number);
-        if version.number <= held && self.version.is_some() {
-            return false;
-        }
-        info!(
-            event = "version_activated",
-            version = version.number,
-            before = held
-        );
-        self.counters.count("config.activated");
-        self.splits.clear();
-        self.version = Some(version);
-        true
-    }
-
     /// Chooses the service that a route's next request goes to.
     pub fn choose_service(&mut self, route: &MeshRoute) -> String {
         self.splits.choose(route, &mut self.rng).to_owned()
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -155,7 +155,7 @@
         match self.wire.read_config(source) {
             Ok(version) => {
                 let version: Rc<MeshVersion> = Rc::new(version);
-                self.with_core(|core, _| core.take_version(version));
+                self.with_core(|core, now| core.take_version(&version, now));
             }
             Err(error) => {
                 tracing::warn!(event = "config_refused", error = %error);
@@ -223,10 +223,6 @@
                 }
             }
             MeshAction::EntryChanged => self.entry_changed.notify_one(),
-            MeshAction::ConfigOffered(source) => {
-                drop(inner);
-                self.take_config(&source);
-            }
         }
     }
 
--- a/crates/sequoiagw-mesh/src/node_news.rs
+++ b/crates/sequoiagw-mesh/src/node_news.rs
@@ -1,9 +1,9 @@
 //! News of the nodes' entries, passed on within a data centre.
 //!
-//! Two nodes of each data centre watch the entries in the platform's store and tell the
-//! others, so that the calls to the store don't grow with the fleet. The watchers also send a
-//! digest at intervals; a node that hears none watches for itself, and one whose own digest
-//! stays different reads all entries again.
+//! Two nodes of each data centre watch the entries and the configuration in the platform's
+//! store and tell the others, so that the calls to the store don't grow with the fleet. The
+//! watchers also send a digest at intervals; a node that hears none watches for itself, and
+//! one whose own digest stays different reads everything again.
 
 use std::time::Duration;
 
@@ -18,9 +18,12 @@
 use crate::NodeEntry;
 
 /// Time without a digest after which a node watches for itself.
-const DIGEST_LIFE: Duration = Duration::from_secs(4);
-/// Digests in a row that may differ before everything is read again.
-const DIFFERENT_LIMIT: u32 = 2;
+const DIGEST_LIFE: Duration = Duration::from_millis(1300);
+/// Time for which the watchers' digest may differ before everything is read again.
+const DIFFERENT_TIME: Duration = Duration::from_millis(2500);
+/// Time for which the watchers may act on a later version than the own before it is read from
+/// the store; meanwhile each of their digests is answered by a question to its sender.
+const LATER_TIME: Duration = Duration::from_millis(900);
 
 /// A change of one entry.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -93,7 +96,10 @@
 #[derive(Debug, Default)]
 pub struct NewsRecord {
     heard: Option<Instant>,
-    different: u32,
+    /// Since when the watchers' digest has differed from the own.
+    different: Option<Instant>,
+    /// Since when the watchers have acted on a later version than the own.
+    later: Option<Instant>,
 }
 
 impl NewsRecord {
@@ -106,17 +112,42 @@
     pub fn on_digest(&mut self, digest: u64, own: u64, now: Instant) {
         self.heard = Some(now);
         if digest == own {
-            self.different = 0;
+            self.different = None;
         } else {
-            self.different += 1;
+            self.different.get_or_insert(now);
         }
     }
 
+    /// Takes the version that a watcher acts on.
+    pub fn on_version(&mut self, told: u64, held: u64, now: Instant) {
+        if told > held {
+            self.later.get_or_insert(now);
+        } else {
+            self.later = None;
+        }
+    }
+
+    /// Notes that a version has to be read from the store.
+    pub fn doubt_version(&mut self, now: Instant) {
+        self.later = now.checked_sub(LATER_TIME).or(Some(now));
+    }
+
+    /// Whether the version has to be read from the store; asked once.
+    pub fn take_version_doubt(&mut self, now: Instant) -> bool {
+        let doubtful = self.later.is_some_and(|since| now >= since + LATER_TIME);
+        if doubtful {
+            self.later = None;
+        }
+        doubtful
+    }
+
     /// Whether everything has to be read again; asked once.
-    pub fn take_doubt(&mut self) -> bool {
-        let doubtful = self.different > DIFFERENT_LIMIT;
+    pub fn take_doubt(&mut self, now: Instant) -> bool {
+        let doubtful = self
+            .different
+            .is_some_and(|since| now >= since + DIFFERENT_TIME);
         if doubtful {
-            self.different = 0;
+            self.different = None;
         }
         doubtful
     }
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -33,7 +33,9 @@
 /// Pause after changes of entries, so that changes that come together are read together.
 const NODES_PAUSE: Duration = Duration::from_millis(900);
 /// Time between two digests of the entries.
-const DIGEST_PERIOD: Duration = Duration::from_millis(1300);
+const DIGEST_PERIOD: Duration = Duration::from_millis(500);
+/// Time between two looks at what the watchers told.
+const NEWS_PAUSE: Duration = Duration::from_millis(300);
 /// Time without word from the store after which peers are asked for the configuration.
 const SILENCE_TIME: Duration = Duration::from_millis(1500);
 /// Time between two such questions.
@@ -57,7 +59,8 @@
         }
     }
 
-    /// Follows the operators' configuration for good.
+    /// Follows the operators' configuration for good: in the store, or as the watchers of the
+    /// data centre tell it.
     ///
     /// After a change the newest version is read at intervals until it is the one known:
     /// in a quick succession of changes that brings fewer copies than there are versions.
@@ -67,13 +70,22 @@
                 continue;
             };
             let key = self.handle.wire().config_key().to_owned();
-            while let Some(batch) = self.ask_for_changes(&key, after).await {
+            loop {
+                if !self.watches_store() {
+                    if self.is_told(MeshCore::doubts_version).await {
+                        continue;
+                    }
+                    break;
+                }
+                let Some(batch) = self.ask_for_changes(&key, after).await else {
+                    break;
+                };
+                after = batch.revision;
                 if !batch.changes.is_empty() {
                     self.take_newest(batch.changes);
                     sleep(CONFIG_PAUSE).await;
                     break;
                 }
-                after = batch.revision;
             }
         }
     }
@@ -114,11 +126,8 @@
                 continue;
             };
             loop {
-                if !self
-                    .handle
-                    .read(|core| core.watches_entries(Instant::now()))
-                {
-                    if self.is_told().await {
+                if !self.watches_store() {
+                    if self.is_told(MeshCore::doubts_entries).await {
                         continue;
                     }
                     break;
@@ -154,16 +163,18 @@
         }
     }
 
-    /// Waits a while for the watchers' news; `false` when everything has to be read again.
-    async fn is_told(&self) -> bool {
-        let mut regained = self.health.regained();
-        tokio::select! {
-            () = sleep(NODES_PAUSE) => {}
-            _ = regained.changed() => return false,
-        }
-        let now = Instant::now();
-        let watches = self.handle.read(|core| core.watches_entries(now));
-        !watches && !self.handle.with_core(|core, _| core.doubts_entries())
+    fn watches_store(&self) -> bool {
+        self.handle.read(|core| core.watches_store(Instant::now()))
+    }
+
+    /// Waits a while for the watchers' news; `false` when there is none, or when `doubts`
+    /// says that everything has to be read again.
+    async fn is_told<Doubts>(&self, doubts: Doubts) -> bool
+    where
+        Doubts: FnOnce(&mut MeshCore, Instant) -> bool,
+    {
+        sleep(NEWS_PAUSE).await;
+        !self.watches_store() && !self.handle.with_core(doubts)
     }
 
     async fn read_nodes(&self) -> Option<u64> {
--- a/crates/sequoiagw-mesh/tests/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/tests/fleet_directory.rs
@@ -98,13 +98,30 @@
 
 #[test]
 fn entries_that_stay_different_from_the_watchers_are_read_again() {
-    let now = Instant::now();
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
     let mut news = NewsRecord::default();
-    for digest in [2, 1, 2, 2] {
-        news.on_digest(digest, 1, now);
-        assert!(!news.take_doubt());
+    for (millis, digest) in [(0, 2), (500, 1), (1000, 2), (3000, 2)] {
+        news.on_digest(digest, 1, at(millis));
+        assert!(!news.take_doubt(at(millis)), "{millis} ms");
     }
-    news.on_digest(2, 1, now);
-    assert!(news.take_doubt());
-    assert!(!news.take_doubt(), "asked once");
+    news.on_digest(2, 1, at(3500));
+    assert!(news.take_doubt(at(3500)));
+    assert!(!news.take_doubt(at(3500)), "asked once");
+}
+
+#[test]
+fn a_version_that_the_watchers_act_on_and_that_doesnt_come_is_read_from_the_store() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let mut news = NewsRecord::default();
+    news.on_version(7, 3, at(0));
+    assert!(!news.take_version_doubt(at(500)));
+    news.on_version(7, 7, at(600));
+    news.on_version(9, 7, at(700));
+    assert!(!news.take_version_doubt(at(1500)), "it has only begun");
+    assert!(news.take_version_doubt(at(1700)));
+    assert!(!news.take_version_doubt(at(1700)), "asked once");
+    news.doubt_version(at(2000));
+    assert!(news.take_version_doubt(at(2000)));
 }
--- a/crates/sequoiagw-mesh/tests/routes.rs
+++ b/crates/sequoiagw-mesh/tests/routes.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sequoiagw_mesh::return_time;
 use sequoiagw_mesh::CallerLimits;
+use sequoiagw_mesh::DeltaError;
 use sequoiagw_mesh::MeshRoute;
 use sequoiagw_mesh::MeshVersion;
 use sequoiagw_mesh::RoutePart;
@@ -40,7 +40,7 @@
         route("short", "/a/", &[("x", 1)]),
         route("long", "/a/b/", &[("y", 1)]),
     ];
-    let version = MeshVersion::new(1, routes, CallerLimits::default(), Bytes::new());
+    let version = MeshVersion::new(1, routes, CallerLimits::default());
     let found = |host: &str, path: &str| {
         let route = version.find_route(host, path);
         route.map(|route| route.name.clone())
@@ -83,3 +83,59 @@
         .collect();
     assert!(all.len() > 25);
 }
+
+fn version(number: u64, routes: &[(&str, &str)]) -> MeshVersion {
+    let routes = routes
+        .iter()
+        .map(|(name, service)| route(name, &format!("/{name}/"), &[(service, 1)]))
+        .collect();
+    MeshVersion::new(number, routes, CallerLimits::default())
+}
+
+#[test]
+fn a_delta_holds_what_has_changed_and_leads_to_the_same_version() {
+    let old = version(3, &[("a", "x"), ("b", "x"), ("c", "x")]);
+    let new = version(7, &[("a", "x"), ("b", "y"), ("d", "x")]);
+    let delta = new.delta_from(Some(&old));
+    let names: Vec<&str> = delta
+        .routes
+        .iter()
+        .map(|route| route.name.as_str())
+        .collect();
+    assert_eq!(names, ["b", "d"]);
+    assert_eq!(delta.removed, ["c"]);
+    let applied = MeshVersion::apply(Some(&old), &delta).expect("applies");
+    assert_eq!((applied.number, applied.digest), (7, new.digest));
+    let found = applied.find_route("shop.example", "/b/1").expect("a route");
+    assert_eq!(found.parts[0].service, "y");
+    assert!(applied.find_route("shop.example", "/c/1").is_none());
+}
+
+#[test]
+fn a_whole_version_needs_no_base() {
+    let new = version(7, &[("a", "x")]);
+    let whole = new.delta_from(None);
+    let old = version(3, &[("b", "x")]);
+    for base in [None, Some(&old)] {
+        let applied = MeshVersion::apply(base, &whole).expect("applies");
+        assert_eq!(applied.digest, new.digest);
+        assert!(applied.find_route("shop.example", "/b/1").is_none());
+    }
+}
+
+#[test]
+fn a_delta_for_another_version_or_with_other_content_is_never_taken() {
+    let old = version(3, &[("a", "x")]);
+    let new = version(7, &[("a", "y")]);
+    let mut delta = new.delta_from(Some(&old));
+    let other = version(5, &[("a", "z")]);
+    let refused = MeshVersion::apply(Some(&other), &delta);
+    assert_eq!(
+        refused.err(),
+        Some(DeltaError::OtherBase { base: 3, held: 5 })
+    );
+    assert!(MeshVersion::apply(None, &delta).is_err());
+    delta.routes.clear();
+    let refused = MeshVersion::apply(Some(&old), &delta);
+    assert_eq!(refused.err(), Some(DeltaError::OtherContent { number: 7 }));
+}
--- a/crates/sequoiagw-node/src/core_messages.rs
+++ b/crates/sequoiagw-node/src/core_messages.rs
@@ -74,6 +74,8 @@
                 self.send(from, FrameBody::FleetReport(report));
             }
             FrameBody::FleetReport(report) => self.actions.push(CoreAction::Report(report)),
+            // Only nodes that follow the platform's own configuration send compiled versions.
+            FrameBody::VersionDelta(_) => self.counters.count("frame.unexpected"),
             FrameBody::Hello(_) => {}
         }
     }
--- a/crates/sequoiagw-protocol/src/lib.rs
+++ b/crates/sequoiagw-protocol/src/lib.rs
@@ -9,6 +9,7 @@
 mod node_identity;
 mod peer_frame;
 mod rank_level;
+mod version_message;
 
 pub use call_message::*;
 pub use config_message::*;
@@ -28,3 +29,4 @@
 pub use peer_frame::PeerFrame;
 pub use peer_frame::FRAME_KINDS;
 pub use rank_level::RankLevel;
+pub use version_message::*;
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -134,6 +134,9 @@
     /// Record of the sender, by which a receiver that doesn't know it can answer.
     #[prost(message, optional, tag = "2")]
     pub sender: Option<MemberRecord>,
+    /// Version that the sender acts on, 0 when it knows none.
+    #[prost(uint64, tag = "3")]
+    pub version: u64,
 }
 
 /// Records of the member table.
--- a/crates/sequoiagw-protocol/src/peer_frame.rs
+++ b/crates/sequoiagw-protocol/src/peer_frame.rs
@@ -26,6 +26,7 @@
 use crate::TableDigest;
 use crate::TableRecords;
 use crate::VersionActivate;
+use crate::VersionDelta;
 use crate::VersionReport;
 
 /// One inner message with its sender.
@@ -40,7 +41,7 @@
     /// Content.
     #[prost(
         oneof = "FrameBody",
-        tags = "10, 11, 12, 13, 14, 15, 20, 21, 22, 23, 24, 25, 26, 27, 30, 31, 32, 33, 40, 41"
+        tags = "10, 11, 12, 13, 14, 15, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 40, 41"
     )]
     pub body: Option<FrameBody>,
 }
@@ -111,6 +112,9 @@
     /// Versions in force.
     #[prost(message, tag = "27")]
     FleetReport(FleetReport),
+    /// What leads to a later compiled version.
+    #[prost(message, tag = "28")]
+    VersionDelta(VersionDelta),
     /// Call.
     #[prost(message, tag = "30")]
     Dispatch(CallDispatch),
@@ -137,9 +141,11 @@
         match self {
             Self::Probe(_) | Self::ProbeAnswer(_) | Self::Hello(_) => FrameKind::Probe,
             Self::Join(_) | Self::Digest(_) | Self::Records(_) => FrameKind::Table,
-            Self::Delta(_) | Self::Full(_) | Self::ConfigRequest(_) | Self::ConfigBusy(_) => {
-                FrameKind::Config
-            }
+            Self::Delta(_)
+            | Self::Full(_)
+            | Self::ConfigRequest(_)
+            | Self::ConfigBusy(_)
+            | Self::VersionDelta(_) => FrameKind::Config,
             Self::Versions(_) | Self::Activate(_) | Self::FleetQuery(_) | Self::FleetReport(_) => {
                 FrameKind::Version
             }
