Answer calls late whose first try was lost, and wait for silent owners of calls that run once

Cause: after a dispatch that was lost on its way, nothing of the aim was left, and owners accept only waits within it: calls were refused with nothing waiting and 465 ms to go. Calls that must not run twice were given up as unknown after three silent rounds (1.5 s), though nothing could be done instead; their answers then came too late. Ruled out: owners at their limit; waiting=0 in the log line.

A call whose earlier try was lost may wait as long as it lives; a silent owner of a non-idempotent call is asked until the deadline. Both tests fail before.

--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -304,7 +304,9 @@
         let Some(node) = self.target_node(call) else {
             return;
         };
-        if resets >= RESET_LIMIT {
+        if resets >= RESET_LIMIT && self.calls[&call].spec.idempotent {
+            // It is tried elsewhere. A call that must not run twice has nowhere else to go: its
+            // answer may still come, and is waited for.
             self.lose(call, now);
             return;
         }
@@ -348,7 +350,7 @@
             rule: entry.spec.placement,
             remote_penalty: remote_penalty(entry.spec.aim, entry.spec.level),
             good_enough: good_enough(entry.spec.aim, entry.spec.level),
-            aim: (entry.began + entry.spec.aim).saturating_duration_since(now),
+            aim: aim_left(entry, entry.tries, now),
             spill_load: entry.spec.spill_load,
             refuse_early: entry.tries == 0,
         };
@@ -544,9 +546,18 @@
         idempotent: entry.spec.idempotent,
         redirected,
         wait_rule: wait_rule_of(entry).into(),
-        aim_ms: (entry.began + entry.spec.aim)
-            .saturating_duration_since(now)
-            .as_millis() as u32,
+        aim_ms: aim_left(entry, entry.tries.saturating_sub(1), now).as_millis() as u32,
+    }
+}
+
+/// Time within which the answer is to be expected for the call to be worth a wait. One whose
+/// earlier try was lost on its way is answered late rather than refused: it waits as long as
+/// it may. `earlier` is the number of tries before the one that is being made.
+fn aim_left(entry: &EntryCall, earlier: u32, now: Instant) -> Duration {
+    if earlier > entry.full {
+        entry.deadline.saturating_duration_since(now)
+    } else {
+        (entry.began + entry.spec.aim).saturating_duration_since(now)
     }
 }
 
--- a/crates/sequoiagw-policy/tests/silent_nodes.rs
+++ b/crates/sequoiagw-policy/tests/silent_nodes.rs
@@ -11,9 +11,13 @@
 use sequoiagw_policy::EntryMachine;
 use sequoiagw_policy::PlacementRule;
 use sequoiagw_policy::TargetInfo;
+use sequoiagw_protocol::CallAnswer;
+use sequoiagw_protocol::CallDispatch;
+use sequoiagw_protocol::CallOutcome;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::RankLevel;
+use sequoiagw_protocol::ServedAnswer;
 use tokio::time::Instant;
 
 /// Two targets in the south, one in the east; the entry is in the north.
@@ -135,3 +139,64 @@
     let (calls, _) = pass(&mut entry, &mut now, 50);
     assert!(calls.is_empty(), "{calls:?}");
 }
+
+fn first_dispatch(entry: &mut EntryMachine) -> CallDispatch {
+    let dispatches = entry.take_actions().into_iter().find_map(|action| {
+        let EntryAction::Send(_, FrameBody::Dispatch(dispatch)) = action else {
+            return None;
+        };
+        Some(dispatch)
+    });
+    dispatches.expect("a dispatch")
+}
+
+#[test]
+fn a_call_whose_first_try_was_lost_may_be_answered_late() {
+    let mut entry = entry();
+    let now = Instant::now();
+    entry.begin(spec("desk"), CallRequest::default(), now);
+    let dispatch = first_dispatch(&mut entry);
+    assert_eq!(dispatch.aim_ms, 1000);
+    let later = now + Duration::from_millis(1200);
+    for node in [2, 3] {
+        entry.on_undelivered(dispatch.call, NodeId::from(node), later);
+    }
+    let dispatch = first_dispatch(&mut entry);
+    assert!(dispatch.aim_ms > 1500, "{} ms", dispatch.aim_ms);
+}
+
+#[test]
+fn a_call_that_must_not_run_twice_is_waited_for_while_its_owner_is_silent() {
+    let mut entry = entry();
+    let start = Instant::now();
+    let call = entry.begin(spec("press"), CallRequest::default(), start);
+    let dispatch = first_dispatch(&mut entry);
+    let mut now = start;
+    let mut answered = false;
+    while now < start + Duration::from_millis(2500) {
+        now += Duration::from_millis(10);
+        entry.on_tick(now);
+        answered |= entry
+            .take_actions()
+            .iter()
+            .any(|action| matches!(action, EntryAction::Reply(..)));
+    }
+    assert!(!answered, "its answer may still come");
+    let served = ServedAnswer {
+        status: 200,
+        ..ServedAnswer::default()
+    };
+    let answer = CallAnswer {
+        call: dispatch.call,
+        outcome: Some(CallOutcome::Served(served)),
+        ..CallAnswer::default()
+    };
+    entry.on_answer(NodeId::from(1), 1, answer, now);
+    let replied = entry.take_actions().into_iter().find_map(|action| {
+        let EntryAction::Reply(number, reply) = action else {
+            return None;
+        };
+        (number == call).then_some(reply.outcome.is_ok())
+    });
+    assert_eq!(replied, Some(true));
+}
