Give each soak run a loopback address that no other run can have

Cause: process 16256's runs 0 and 1 both got 127.103.248.1, because a last octet of 0 was raised to 1; the nodes of one couldn't bind the ports of the other. Ruled out: the nodes themselves, whose failures came in pairs with the other run's. Addresses are now built of octets from 1 to 250 and differ for all runs. Its test holds that, the failing process's number included. What nodes write to standard error is kept in their logs.

--- a/crates/sequoiagw-soak/src/lib.rs
+++ b/crates/sequoiagw-soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub use promise_ledger::CallRecord;
 pub use promise_ledger::PromiseKind;
 pub use promise_ledger::PromiseLedger;
+pub use soak_fleet::run_address;
 pub use soak_run::run_soak;
 pub use soak_run::SoakOptions;
 pub use soak_run::SoakReport;
--- a/crates/sequoiagw-soak/src/node_process.rs
+++ b/crates/sequoiagw-soak/src/node_process.rs
@@ -6,7 +6,6 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
-use std::process::Stdio;
 use std::time::Duration;
 
 use eyre::WrapErr;
@@ -57,13 +56,14 @@
             .append(true)
             .open(&self.log)
             .wrap_err("the log can't be opened")?;
+        let errors = log.try_clone().wrap_err("the log can't be opened")?;
         let child = Command::new(&self.program)
             .arg("platform-node")
             .arg("--peer-listen")
             .arg(self.peer_listen.to_string())
             .env(SETTINGS_VARIABLE, &self.settings)
             .stdout(log)
-            .stderr(Stdio::null())
+            .stderr(errors)
             .spawn()
             .wrap_err_with(|| format!("{} can't be started", self.program.display()))?;
         self.child = Some(child);
--- a/crates/sequoiagw-soak/src/soak_fleet.rs
+++ b/crates/sequoiagw-soak/src/soak_fleet.rs
@@ -141,11 +141,24 @@
 
 /// Runs that one process may make without sharing an address with another process's.
 const RUNS_A_PROCESS: u32 = 16;
+/// Values that an octet of an address takes, from 1 on.
+const OCTETS: u32 = 250;
 /// Runs begun in this process.
 static RUNS: AtomicU32 = AtomicU32::new(0);
 /// First port given out.
 const FIRST_PORT: u16 = 20_000;
 
+/// Loopback address of a process's run. Neither 0 nor 255 stands in it, and 127.0.0.x is left
+/// to others.
+pub fn run_address(process: u32, run: u32) -> IpAddr {
+    let number = process
+        .wrapping_mul(RUNS_A_PROCESS)
+        .wrapping_add(run % RUNS_A_PROCESS);
+    let octet = |rest: u32| (1 + rest % OCTETS) as u8;
+    let [high, middle, low] = [number / OCTETS / OCTETS, number / OCTETS, number].map(octet);
+    IpAddr::V4(Ipv4Addr::new(127, high, middle, low))
+}
+
 /// Gives out addresses that nobody else on the machine uses: a loopback address of the run's
 /// own, with ports in order. A port that was free a moment ago may be taken by then.
 struct AddressBook {
@@ -156,9 +169,8 @@
 impl AddressBook {
     fn new() -> Self {
         let run = RUNS.fetch_add(1, Ordering::Relaxed);
-        let [_, high, middle, low] = (std::process::id() * RUNS_A_PROCESS + run).to_be_bytes();
         Self {
-            ip: IpAddr::V4(Ipv4Addr::new(127, 100 + high % 100, middle, low.max(1))),
+            ip: run_address(std::process::id(), run),
             next: FIRST_PORT,
         }
     }
--- a/crates/sequoiagw-soak/tests/promises.rs
+++ b/crates/sequoiagw-soak/tests/promises.rs
@@ -1,9 +1,11 @@
 //! The soak's own checks: what they find, and that seeds repeat.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use sequoiagw_platform_standins::BackendRun;
 use sequoiagw_platform_standins::CallEnd;
+use sequoiagw_soak::run_address;
 use sequoiagw_soak::CallRecord;
 use sequoiagw_soak::FaultPlan;
 use sequoiagw_soak::PromiseKind;
@@ -55,6 +57,18 @@
     assert!(plan.faults.len() > 20);
 }
 
+#[test]
+fn runs_never_share_an_address_though_their_process_has_any_number() {
+    let mut seen = BTreeSet::new();
+    for process in (1..40_000).step_by(7).chain([16_256]) {
+        for run in 0..16 {
+            let address = run_address(process, run);
+            assert!(address.is_loopback());
+            assert!(seen.insert(address), "process {process} run {run}");
+        }
+    }
+}
+
 #[test]
 fn a_request_that_ran_twice_is_found() {
     let mut ledger = PromiseLedger::default();
