Split the entry, the target board and three test files by job

Now entry_dispatch.rs says where a call goes and what its owner is told, entry_silence.rs what becomes of calls of silent, broken and lost nodes, and target_view.rs what was seen of one target.

Ruled out: splitting by size alone; the retry and suspicion parts already had files.

--- a/crates/sequoiagw-node/tests/call_promises.rs
+++ b/crates/sequoiagw-node/tests/call_promises.rs
@@ -1,5 +1,6 @@
 //! What must always hold of calls, provoked by faults in a whole fleet.
 
+mod fleet_call;
 mod support;
 
 use std::time::Duration;
@@ -9,7 +10,7 @@
 use sequoiagw_standin::BackendPlan;
 use sequoiagw_standin::FleetPlan;
 
-use crate::support::call;
+use crate::fleet_call::call;
 use crate::support::on_paused_clock;
 use crate::support::ready_fleet;
 use crate::support::within;
--- a/crates/sequoiagw-node/tests/config_promises.rs
+++ b/crates/sequoiagw-node/tests/config_promises.rs
@@ -1,8 +1,9 @@
 //! What must always hold of configurations, provoked by faults.
 
+mod fleet_call;
 mod support;
+mod version_watch;
 
-use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,8 +11,6 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use sequoiagw_config::AcceptedConfig;
-use sequoiagw_config::ServiceSpec;
-use sequoiagw_distribution::ConfigChange;
 use sequoiagw_distribution::ConfigWriter;
 use sequoiagw_distribution::WriteError;
 use sequoiagw_standin::FleetPlan;
@@ -22,21 +21,13 @@
 use sequoiagw_store::StoreReply;
 use sequoiagw_store::StoreRequest;
 
-use crate::support::call;
+use crate::fleet_call::call;
 use crate::support::mesh::mesh_with_timeout;
 use crate::support::on_paused_clock;
 use crate::support::ready_fleet;
 use crate::support::within;
+use crate::version_watch::VersionWatch;
 
-fn plan(nodes: usize, seed: u64) -> FleetPlan {
-    FleetPlan {
-        nodes,
-        seed,
-        ..FleetPlan::default()
-    }
-}
-
-/// Accepts the configuration with another timeout and returns its version.
 async fn accept(fleet: &SmallFleet, seconds: u64) -> u64 {
     let change_id = format!("timeout-{seconds}");
     let accepted = fleet.accept(mesh_with_timeout(seconds), &change_id).await;
@@ -47,49 +38,10 @@
     tokio::time::sleep(Duration::from_secs(seconds)).await;
 }
 
-fn change(seconds: u64, base: u64, change_id: &str) -> ConfigChange {
-    ConfigChange {
-        config: mesh_with_timeout(seconds),
-        base,
-        change_id: change_id.to_owned(),
-        author: change_id.to_owned(),
-        message: "test".to_owned(),
-        now_ms: 1,
-    }
-}
-
-/// Highest version seen at each node, whatever process ran there.
-#[derive(Default)]
-struct VersionWatch {
-    highest: BTreeMap<String, u64>,
-}
-
-impl VersionWatch {
-    fn look(&mut self, fleet: &SmallFleet) {
-        for (name, version) in fleet.versions() {
-            let highest = self.highest.entry(name.clone()).or_default();
-            // A fresh process without a version in force yet acts on none.
-            assert!(
-                version == 0 || version >= *highest,
-                "{name} went back to {version}"
-            );
-            *highest = version.max(*highest);
-        }
-    }
-
-    async fn look_for(&mut self, fleet: &SmallFleet, time: Duration) {
-        let end = tokio::time::Instant::now() + time;
-        while tokio::time::Instant::now() < end {
-            tokio::time::sleep(Duration::from_millis(20)).await;
-            self.look(fleet);
-        }
-    }
-}
-
 /// Plays random changes and faults and checks that no node goes back and all catch up.
 async fn play_changes(seed: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let mut fleet = ready_fleet(plan(12, seed)).await;
+    let mut fleet = ready_fleet(FleetPlan::sized(12, seed)).await;
     let mut watch = VersionWatch::default();
     let mut last = 1;
     for step in 0..12 {
@@ -151,7 +103,7 @@
 #[test]
 fn a_fresh_process_learns_from_its_peers_what_its_host_acted_on() {
     on_paused_clock(async {
-        let mut fleet = ready_fleet(plan(8, 1)).await;
+        let mut fleet = ready_fleet(FleetPlan::sized(8, 1)).await;
         let version = accept(&fleet, 3).await;
         within(7, "in force everywhere", fleet.wait_version(version)).await;
         fleet.store.set_faults(|faults| faults.down = true);
@@ -170,7 +122,7 @@
 #[test]
 fn a_fresh_data_centre_without_store_and_peers_is_not_ready() {
     on_paused_clock(async {
-        let mut fleet = ready_fleet(plan(8, 1)).await;
+        let mut fleet = ready_fleet(FleetPlan::sized(8, 1)).await;
         fleet.cut_centre("dc1", true);
         for index in (0..8).filter(|index| index % 2 == 1) {
             fleet.kill_node(index);
@@ -188,7 +140,7 @@
 #[test]
 fn a_bad_version_is_refused_whole_and_seen_by_operators() {
     on_paused_clock(async {
-        let fleet = ready_fleet(plan(6, 1)).await;
+        let fleet = ready_fleet(FleetPlan::sized(6, 1)).await;
         let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
         let read = writer.read().await.expect("read");
         let config = mesh_with_timeout(9);
@@ -243,7 +195,7 @@
 #[test]
 fn a_version_with_an_open_reference_is_refused_by_every_node() {
     on_paused_clock(async {
-        let fleet = ready_fleet(plan(6, 1)).await;
+        let fleet = ready_fleet(FleetPlan::sized(6, 1)).await;
         let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
         let read = writer.read().await.expect("read");
         let mut config = mesh_with_timeout(9);
@@ -264,133 +216,10 @@
     });
 }
 
-#[test]
-fn operators_who_race_get_a_conflict_that_names_the_other_change() {
-    on_paused_clock(async {
-        let fleet = ready_fleet(plan(4, 1)).await;
-        let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
-        writer.apply(&change(3, 1, "anna")).await.expect("first");
-        let error = writer
-            .apply(&change(4, 1, "berta"))
-            .await
-            .expect_err("conflict");
-        let WriteError::Conflict {
-            version: 2,
-            author,
-            paths,
-            ..
-        } = error
-        else {
-            panic!("{error}");
-        };
-        assert_eq!(
-            (author.as_str(), paths.as_str()),
-            ("anna", "defaults.timeout")
-        );
-    });
-}
-
-#[test]
-fn operators_who_touch_different_settings_are_both_accepted() {
-    on_paused_clock(async {
-        let fleet = ready_fleet(plan(4, 1)).await;
-        let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
-        writer.apply(&change(3, 1, "anna")).await.expect("first");
-        let mut other = change(2, 1, "berta");
-        other
-            .config
-            .services
-            .insert("oven".to_owned(), ServiceSpec::default());
-        let accepted = writer.apply(&other).await.expect("rebased");
-        let config = accepted.tree.to_config().expect("valid");
-        assert_eq!(accepted.version, 3);
-        assert!(config.services.contains_key("oven"));
-        assert_eq!(config.defaults, mesh_with_timeout(3).defaults);
-        within(7, "in force everywhere", fleet.wait_version(3)).await;
-    });
-}
-
-#[test]
-fn a_write_whose_answer_is_lost_is_found_again_and_never_doubled() {
-    for seed in 0..10 {
-        on_paused_clock(async move {
-            let fleet = ready_fleet(plan(4, seed)).await;
-            fleet.store.set_faults(|faults| faults.lost_answers = 0.6);
-            let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
-            for number in 0..8 {
-                let base = writer.read().await.expect("read").version();
-                let made = change(3 + number, base, &format!("change-{number}"));
-                match writer.apply(&made).await {
-                    Ok(accepted) => assert_eq!(accepted.version, base + 1),
-                    Err(WriteError::Unconfirmed { .. }) => {}
-                    Err(error) => panic!("{error}"),
-                }
-            }
-            let history = writer.history().await.expect("history");
-            let mut ids: Vec<&str> = history
-                .iter()
-                .map(|entry| entry.change_id.as_str())
-                .collect();
-            let versions: Vec<u64> = history.iter().map(|entry| entry.version).collect();
-            assert_eq!(versions, (1..=versions.len() as u64).collect::<Vec<_>>());
-            ids.sort_unstable();
-            ids.dedup();
-            assert_eq!(ids.len(), history.len(), "a change was accepted twice");
-        });
-    }
-}
-
-#[test]
-fn racing_operators_on_a_bad_store_make_one_chain() {
-    for seed in 0..10 {
-        on_paused_clock(async move {
-            let fleet = ready_fleet(plan(2, seed)).await;
-            fleet.store.set_faults(|faults| {
-                faults.lost_answers = 0.3;
-                faults.delay = Duration::from_millis(20);
-            });
-            let mut tasks = Vec::new();
-            for operator in 0..5u64 {
-                let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
-                tasks.push(tokio::task::spawn_local(async move {
-                    let mut made = change(2, 1, &format!("operator-{operator}"));
-                    let service = format!("service-{operator}");
-                    made.config.services.insert(service, ServiceSpec::default());
-                    writer.apply(&made).await
-                }));
-            }
-            let mut accepted = 0;
-            for task in tasks {
-                if task.await.expect("task").is_ok() {
-                    accepted += 1;
-                }
-            }
-            fleet.store.set_faults(|faults| faults.lost_answers = 0.0);
-            let writer = ConfigWriter::new(Rc::new(fleet.store.client()));
-            let read = writer.read().await.expect("read");
-            let config = read
-                .accepted
-                .expect("accepted")
-                .tree
-                .to_config()
-                .expect("valid");
-            let added = config
-                .services
-                .keys()
-                .filter(|name| name.starts_with("service-"))
-                .count();
-            assert!(
-                added >= accepted,
-                "{accepted} accepted, {added} in the newest version"
-            );
-        });
-    }
-}
-
 #[test]
 fn a_cut_off_data_centre_goes_on_and_catches_up_by_itself() {
     on_paused_clock(async {
-        let fleet = ready_fleet(plan(12, 1)).await;
+        let fleet = ready_fleet(FleetPlan::sized(12, 1)).await;
         fleet.cut_centre("dc1", true);
         let version = accept(&fleet, 4).await;
         pause(20).await;
@@ -412,7 +241,7 @@
 #[test]
 fn a_store_that_only_one_side_reaches_still_feeds_both_over_the_links() {
     on_paused_clock(async {
-        let fleet = ready_fleet(plan(12, 1)).await;
+        let fleet = ready_fleet(FleetPlan::sized(12, 1)).await;
         for node in fleet.nodes.iter().filter(|node| node.data_centre == "dc1") {
             node.store.set_cut(true);
         }
@@ -425,7 +254,7 @@
 #[test]
 fn in_a_store_outage_nodes_serve_and_join_and_changes_are_refused() {
     on_paused_clock(async {
-        let mut fleet = ready_fleet(plan(8, 1)).await;
+        let mut fleet = ready_fleet(FleetPlan::sized(8, 1)).await;
         fleet.store.set_faults(|faults| faults.down = true);
         pause(120).await;
         let reply = call(&fleet.nodes[0].handle, "pay", "a", "").await;
@@ -449,7 +278,7 @@
 #[test]
 fn a_silent_watch_hides_nothing_for_long() {
     on_paused_clock(async {
-        let fleet = ready_fleet(plan(12, 1)).await;
+        let fleet = ready_fleet(FleetPlan::sized(12, 1)).await;
         fleet
             .store
             .set_faults(|faults| faults.silent_watches = true);
@@ -461,7 +290,7 @@
 #[test]
 fn holders_paused_past_their_lease_are_replaced_and_harmless() {
     on_paused_clock(async {
-        let fleet = ready_fleet(plan(12, 1)).await;
+        let fleet = ready_fleet(FleetPlan::sized(12, 1)).await;
         let holders: Vec<usize> = (0..12)
             .filter(|index| {
                 fleet.nodes[*index]
@@ -491,131 +320,3 @@
         within(20, "the paused ones catch up", fleet.wait_version(version)).await;
     });
 }
-
-#[test]
-fn the_load_on_the_store_does_not_grow_with_the_fleet() {
-    let rate = |nodes: usize| {
-        let mut calls = 0;
-        on_paused_clock(async {
-            let fleet = ready_fleet(plan(nodes, 1)).await;
-            pause(20).await;
-            let total = |fleet: &SmallFleet| fleet.store.counts().values().sum::<u64>();
-            let before = total(&fleet);
-            pause(30).await;
-            calls = total(&fleet) - before;
-        });
-        calls
-    };
-    let (small, large) = (rate(6), rate(48));
-    assert!(
-        large <= small + small / 5,
-        "{small} to {large} calls in 30 s"
-    );
-}
-
-/// A version that reaches only the holders before everything else fails.
-async fn play_early_holders(seed: u64) {
-    let mut fleet = ready_fleet(FleetPlan {
-        data_centres: 1,
-        ..plan(8, seed)
-    })
-    .await;
-    let mut watch = VersionWatch::default();
-    pause(15).await;
-    pause(15).await;
-    let holders: Vec<usize> = (0..8)
-        .filter(|index| {
-            fleet.nodes[*index]
-                .handle
-                .read(|core| core.seat().is_some())
-        })
-        .collect();
-    fleet.network.set_plan(NetworkPlan {
-        loss: 1.0,
-        ..NetworkPlan::default()
-    });
-    accept(&fleet, 9).await;
-    watch.look_for(&fleet, Duration::from_secs(1)).await;
-    let held = |index: usize| {
-        fleet.nodes[index]
-            .handle
-            .read(sequoiagw_node::NodeCore::held_version)
-    };
-    assert!(
-        holders.iter().any(|index| held(*index) == 2),
-        "a holder has read it"
-    );
-    fleet.store.set_faults(|faults| faults.down = true);
-    for index in holders {
-        fleet.kill_node(index);
-        fleet.start_node(index);
-    }
-    fleet.network.set_plan(NetworkPlan::default());
-    watch.look_for(&fleet, Duration::from_secs(20)).await;
-    assert!(fleet.versions().values().all(|version| *version == 1));
-}
-
-#[test]
-fn a_version_that_few_hold_is_not_acted_on_and_may_be_forgotten() {
-    for seed in 0..10 {
-        on_paused_clock(play_early_holders(seed));
-    }
-}
-
-/// A process restarts while some of its peers are behind and the store is down.
-async fn play_peers_behind(seed: u64) {
-    let mut fleet = ready_fleet(FleetPlan {
-        data_centres: 1,
-        ..plan(9, seed)
-    })
-    .await;
-    let mut watch = VersionWatch::default();
-    pause(15).await;
-    let behind = keep_behind(&fleet);
-    let version = accept(&fleet, 9).await;
-    // Long enough for other members to count when the first ones are behind.
-    watch.look_for(&fleet, Duration::from_millis(2_500)).await;
-    let versions = fleet.versions();
-    let ahead = versions.values().filter(|active| **active == version);
-    assert_eq!(ahead.count(), 6, "the majority acts on it: {versions:?}");
-    fleet.store.set_faults(|faults| faults.down = true);
-    fleet.kill_node(0);
-    fleet.start_node(0);
-    fleet.network.heal(fleet.nodes[0].address);
-    // An old version in force for a few milliseconds is one too many.
-    for _ in 0..2_000 {
-        tokio::time::sleep(Duration::from_millis(1)).await;
-        watch.look(&fleet);
-    }
-    for index in behind {
-        fleet.network.heal(fleet.nodes[index].address);
-    }
-    watch.look_for(&fleet, Duration::from_secs(20)).await;
-    let versions = fleet.versions();
-    assert!(
-        versions.values().all(|active| *active == version),
-        "{versions:?}"
-    );
-}
-
-/// Silences three nodes towards all others. Holders read the store themselves, so they
-/// can't be kept behind.
-fn keep_behind(fleet: &SmallFleet) -> Vec<usize> {
-    let sits = |index: usize| fleet.nodes[index].handle.read(|core| core.seat().is_some());
-    let behind: Vec<usize> = (1..9).filter(|index| !sits(*index)).take(3).collect();
-    for other in (0..9).filter(|other| !behind.contains(other)) {
-        for index in &behind {
-            fleet
-                .network
-                .silence(fleet.nodes[*index].address, fleet.nodes[other].address);
-        }
-    }
-    behind
-}
-
-#[test]
-fn a_fresh_process_asks_enough_peers_to_meet_one_that_knows() {
-    for seed in 0..20 {
-        on_paused_clock(play_peers_behind(seed));
-    }
-}
--- a/crates/sequoiagw-node/tests/whole_path.rs
+++ b/crates/sequoiagw-node/tests/whole_path.rs
@@ -1,5 +1,6 @@
 //! The whole path: configuration in, calls through, answers back.
 
+mod fleet_call;
 mod support;
 
 use std::time::Duration;
@@ -8,7 +9,7 @@
 use sequoiagw_standin::FleetPlan;
 use sequoiagw_standin::SmallFleet;
 
-use crate::support::call;
+use crate::fleet_call::call;
 use crate::support::mesh::mesh_with_timeout;
 use crate::support::on_paused_clock;
 use crate::support::ready_fleet;
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -8,46 +8,27 @@
 use rand_chacha::ChaCha8Rng;
 use sequoiagw_protocol::CallAnswer;
 use sequoiagw_protocol::CallCancel;
-use sequoiagw_protocol::CallDispatch;
 use sequoiagw_protocol::CallOutcome;
-use sequoiagw_protocol::CallQuery;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::RanState;
 use sequoiagw_protocol::ServedAnswer;
-use sequoiagw_protocol::WaitRule;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::entry_call::EntryCall;
 use crate::entry_call::EntryPhase;
-use crate::good_enough;
-use crate::remote_penalty;
 use crate::CallRequest;
 use crate::CallSpec;
 use crate::CallerReply;
 use crate::EntryAction;
-use crate::PickRequest;
-use crate::PlacementRule;
 use crate::RetryBudget;
-use crate::RetryReason;
 use crate::TargetBoard;
-use crate::TargetInfo;
 
-/// Time without an answer after which the owner is asked about a call.
-const QUIET_TIME: Duration = Duration::from_millis(300);
 /// Time between questions about a call that its owner holds.
 const PENDING_TIME: Duration = Duration::from_secs(1);
-/// Links replaced for an idempotent call before its target counts as lost.
-const RESET_LIMIT: u32 = 3;
-/// Part of the remaining time kept back, so that the owner's word arrives before the deadline.
-const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
-/// Remaining time from which the margin is kept back.
-const MARGIN_FROM: Duration = Duration::from_millis(200);
 /// Time past the deadline for which the owner's word is awaited.
-const DEADLINE_GRACE: Duration = Duration::from_millis(20);
+pub(crate) const DEADLINE_GRACE: Duration = Duration::from_millis(20);
 
 /// State of an entry.
 #[derive(Debug)]
@@ -200,57 +181,6 @@
         self.suspects.remove(&node);
     }
 
-    /// The link to a node broke: its calls are asked about on a fresh one at once.
-    pub fn on_link_lost(&mut self, node: NodeId, now: Instant) {
-        for call in self.calls_at(node) {
-            self.ask(call, 0, now);
-        }
-    }
-
-    /// A dispatch was never written to any link, so it can't have run.
-    pub fn on_undelivered(&mut self, dispatch: u64, node: NodeId, now: Instant) {
-        let Some(call) = self.dispatched_to(dispatch, node) else {
-            return;
-        };
-        if self.has_restarted(call, node) {
-            // It was kept from a process that has followed the one it was meant for.
-            self.forget_last_tried(call);
-        } else {
-            self.note_failure(node, now);
-        }
-        let kind = ErrorKind::TargetMissing;
-        self.retry(call, kind, RetryReason::Undelivered, now);
-    }
-
-    /// Whether the target that a call was sent to runs in another process by now.
-    fn has_restarted(&self, call: u64, node: NodeId) -> bool {
-        let meant = self.calls[&call].target.as_ref().map(|target| target.boot);
-        self.board
-            .boot(node)
-            .is_some_and(|boot| Some(boot) != meant)
-    }
-
-    /// A question about a call couldn't be delivered: its node can't be reached now. An
-    /// idempotent call needn't wait for what became of it.
-    pub fn on_query_undelivered(&mut self, dispatch: u64, node: NodeId, now: Instant) {
-        let Some(call) = self.dispatched_to(dispatch, node) else {
-            return;
-        };
-        if self.calls[&call].spec.idempotent {
-            self.lose(call, now);
-        }
-    }
-
-    /// A node is lost, or runs in a new boot: what it held is unknown.
-    pub fn on_node_lost(&mut self, node: NodeId, live_boot: Option<u64>, now: Instant) {
-        for call in self.calls_at(node) {
-            let boot = self.calls[&call].target.as_ref().map(|target| target.boot);
-            if live_boot.is_none() || boot != live_boot {
-                self.lose(call, now);
-            }
-        }
-    }
-
     /// The caller has gone; its call is cancelled at the owner.
     pub fn on_caller_gone(&mut self, call: u64) {
         let Some(entry) = self.calls.get(&call) else {
@@ -283,116 +213,6 @@
         wake.into_iter().chain(self.next_probe()).min()
     }
 
-    fn wake(&mut self, call: u64, now: Instant) {
-        let Some(entry) = self.calls.get(&call) else {
-            return;
-        };
-        match entry.phase {
-            EntryPhase::Pausing if now >= entry.deadline => {
-                self.reply(call, Err(ErrorKind::DeadlineQueued));
-            }
-            EntryPhase::Pausing => self.dispatch(call, now),
-            _ if now >= entry.deadline + DEADLINE_GRACE => {
-                self.reply(call, Err(ErrorKind::DeadlineRunning));
-            }
-            EntryPhase::Waiting => self.ask(call, 0, now),
-            EntryPhase::Asking { since, resets } => self.ask_again(call, since, resets, now),
-        }
-    }
-
-    fn ask_again(&mut self, call: u64, since: Instant, resets: u32, now: Instant) {
-        let Some(node) = self.target_node(call) else {
-            return;
-        };
-        if resets >= RESET_LIMIT && self.calls[&call].spec.idempotent {
-            // It is tried elsewhere. A call that must not run twice has nowhere else to go: its
-            // answer may still come, and is waited for.
-            self.lose(call, now);
-            return;
-        }
-        let silent = self.heard.get(&node).is_none_or(|heard| *heard < since);
-        if silent {
-            self.suspect(node, now);
-            self.actions.push(EntryAction::ResetLink(node));
-        }
-        self.ask(call, resets + 1, now);
-    }
-
-    fn ask(&mut self, call: u64, resets: u32, now: Instant) {
-        let Some(entry) = self.calls.get(&call) else {
-            return;
-        };
-        let Some(target) = &entry.target else {
-            return;
-        };
-        let query = CallQuery {
-            call: entry.dispatch,
-            target_boot: target.boot,
-        };
-        self.actions
-            .push(EntryAction::Send(target.node, FrameBody::Query(query)));
-        self.set_phase(
-            call,
-            EntryPhase::Asking { since: now, resets },
-            now + QUIET_TIME,
-        );
-    }
-
-    pub(crate) fn dispatch(&mut self, call: u64, now: Instant) {
-        let Some(entry) = self.calls.get(&call) else {
-            return;
-        };
-        let request = PickRequest {
-            service: &entry.spec.service,
-            route: &entry.spec.route,
-            level: entry.spec.level,
-            tried: &entry.tried,
-            rule: entry.spec.placement,
-            remote_penalty: remote_penalty(entry.spec.aim, entry.spec.level),
-            good_enough: good_enough(entry.spec.aim, entry.spec.level),
-            aim: aim_left(entry, entry.tries, now),
-            spill_load: entry.spec.spill_load,
-            refuse_early: entry.tries == 0,
-        };
-        match self.board.pick(&request, &mut self.rng, now) {
-            Ok(target) => {
-                let note = self.board.placement_note(&target, &request, now);
-                if let Some(entry) = self.calls.get_mut(&call) {
-                    entry.placed = Some(note);
-                }
-                self.send_to(call, target, false, now);
-            }
-            Err(ErrorKind::TargetMissing) if !entry.tried.is_empty() => {
-                self.forget_tried(call, now);
-            }
-            Err(kind) => self.reply(call, Err(kind)),
-        }
-    }
-
-    pub(crate) fn send_to(
-        &mut self,
-        call: u64,
-        target: TargetInfo,
-        redirected: bool,
-        now: Instant,
-    ) {
-        let number = self.take_number();
-        let Some(entry) = self.calls.get_mut(&call) else {
-            return;
-        };
-        let node = target.node;
-        entry.dispatch = number;
-        self.dispatches.insert(number, call);
-        entry.tries += 1;
-        entry.tried.push(node);
-        entry.target = Some(target);
-        let dispatch = dispatch_of(entry, redirected, now);
-        self.board.sent(node);
-        self.actions
-            .push(EntryAction::Send(node, FrameBody::Dispatch(dispatch)));
-        self.set_phase(call, EntryPhase::Waiting, now + QUIET_TIME);
-    }
-
     fn serve(&mut self, call: u64, from: NodeId, served: ServedAnswer, now: Instant) {
         if served.length != served.body.len() as u64 {
             self.on_refusal(call, ErrorKind::AnswerTruncated, now);
@@ -472,14 +292,14 @@
             .or_insert_with(|| RetryBudget::new(limit))
     }
 
-    fn take_number(&mut self) -> u64 {
+    pub(crate) fn take_number(&mut self) -> u64 {
         let number = self.next_number;
         self.next_number += 1;
         number
     }
 
     /// The call whose current dispatch has this number and went to this node.
-    fn dispatched_to(&self, dispatch: u64, node: NodeId) -> Option<u64> {
+    pub(crate) fn dispatched_to(&self, dispatch: u64, node: NodeId) -> Option<u64> {
         let call = *self.dispatches.get(&dispatch)?;
         (self.target_node(call)? == node).then_some(call)
     }
@@ -491,24 +311,6 @@
             .as_ref()
             .map(|target| target.node)
     }
-
-    /// Calls dispatched to a node and not answered, in order.
-    fn calls_at(&self, node: NodeId) -> Vec<u64> {
-        let mut calls: Vec<u64> = self
-            .calls
-            .iter()
-            .filter(|(_, entry)| entry.phase != EntryPhase::Pausing)
-            .filter(|(_, entry)| {
-                entry
-                    .target
-                    .as_ref()
-                    .is_some_and(|target| target.node == node)
-            })
-            .map(|(call, _)| *call)
-            .collect();
-        calls.sort_unstable();
-        calls
-    }
 }
 
 /// Whether an outcome says only that this process can't tell or never took the call.
@@ -521,61 +323,3 @@
         Some(ErrorKind::TargetLost | ErrorKind::KeyUnknown)
     )
 }
-
-fn dispatch_of(entry: &EntryCall, redirected: bool, now: Instant) -> CallDispatch {
-    let mut remaining = entry.deadline.saturating_duration_since(now);
-    if remaining >= MARGIN_FROM {
-        remaining -= DEADLINE_MARGIN;
-    }
-    let request = &entry.request;
-    CallDispatch {
-        call: entry.dispatch,
-        service: entry.spec.service.clone(),
-        route: entry.spec.route.clone(),
-        rank: u32::from(entry.spec.level.get()),
-        remaining_ms: remaining.as_millis() as u32,
-        caller: request.caller,
-        key: request.key.clone(),
-        fingerprint: fingerprint_of(request),
-        method: request.method.clone(),
-        path: request.path.clone(),
-        headers: request.headers.clone(),
-        body: request.body.clone(),
-        request_id: request.request_id.clone(),
-        target_boot: entry.target.as_ref().map_or(0, |target| target.boot),
-        idempotent: entry.spec.idempotent,
-        redirected,
-        wait_rule: wait_rule_of(entry).into(),
-        aim_ms: aim_left(entry, entry.tries.saturating_sub(1), now).as_millis() as u32,
-    }
-}
-
-/// Time within which the answer is to be expected for the call to be worth a wait. One whose
-/// earlier try was lost on its way is answered late rather than refused: it waits as long as
-/// it may. `earlier` is the number of tries before the one that is being made.
-fn aim_left(entry: &EntryCall, earlier: u32, now: Instant) -> Duration {
-    if earlier > entry.full {
-        entry.deadline.saturating_duration_since(now)
-    } else {
-        (entry.began + entry.spec.aim).saturating_duration_since(now)
-    }
-}
-
-/// The first target is asked for a slot soon, the next one for an answer in time.
-fn wait_rule_of(entry: &EntryCall) -> WaitRule {
-    match (entry.spec.placement, entry.full) {
-        (PlacementRule::Spill, _) => WaitRule::Deadline,
-        (PlacementRule::Fastest, 0) => WaitRule::Prompt,
-        (PlacementRule::Fastest, _) => WaitRule::Timely,
-    }
-}
-
-/// Hash of method, path and body, by which another request under the same key is told.
-fn fingerprint_of(request: &CallRequest) -> u64 {
-    if request.key.is_empty() {
-        return 0;
-    }
-    let seed = xxh3_64(request.method.as_bytes());
-    let seed = xxh3_64_with_seed(request.path.as_bytes(), seed);
-    xxh3_64_with_seed(&request.body, seed)
-}
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -7,8 +7,10 @@
 mod decision_note;
 mod entry_action;
 mod entry_call;
+mod entry_dispatch;
 mod entry_machine;
 mod entry_retries;
+mod entry_silence;
 mod entry_suspects;
 mod hold_times;
 mod key_ledger;
@@ -25,6 +27,7 @@
 mod slot_limiter;
 mod start_rates;
 mod target_board;
+mod target_view;
 
 pub use call_id::CallId;
 pub use call_id::RunId;
--- /dev/null
+++ b/crates/sequoiagw-policy/tests/hostile_world/mod.rs
@@ -0,0 +1,424 @@
+//! Entries and owners on a network that loses, doubles, delays and reorders, with callers who
+//! repeat their keys.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bytes::Bytes;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sequoiagw_policy::BackendResult;
+use sequoiagw_policy::CallRequest;
+use sequoiagw_policy::CallSpec;
+use sequoiagw_policy::EntryAction;
+use sequoiagw_policy::EntryMachine;
+use sequoiagw_policy::OwnerAction;
+use sequoiagw_policy::OwnerMachine;
+use sequoiagw_policy::OwnerSetup;
+use sequoiagw_policy::PlacementRule;
+use sequoiagw_policy::RunId;
+use sequoiagw_policy::SlotRule;
+use sequoiagw_policy::TargetInfo;
+use sequoiagw_protocol::CallAnswer;
+use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::FrameBody;
+use sequoiagw_protocol::KeyClaim;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::RanState;
+use sequoiagw_protocol::RankLevel;
+use tokio::time::Instant;
+
+pub const ENTRIES: usize = 2;
+pub const OWNERS: usize = 3;
+
+/// Something on its way.
+#[derive(Clone, Debug)]
+pub enum Transit {
+    ToOwner {
+        entry: usize,
+        owner: usize,
+        body: FrameBody,
+    },
+    ToEntry {
+        owner: usize,
+        boot: u64,
+        entry: usize,
+        answer: CallAnswer,
+    },
+    Result {
+        owner: usize,
+        boot: u64,
+        run: RunId,
+        result: BackendResult,
+    },
+    Claimed {
+        owner: usize,
+        boot: u64,
+        key: String,
+        standing: Option<KeyClaim>,
+    },
+}
+
+pub struct HostileWorld {
+    pub rng: ChaCha8Rng,
+    pub now: Instant,
+    pub entries: Vec<EntryMachine>,
+    pub owners: Vec<(u64, OwnerMachine)>,
+    pub transit: BTreeMap<(Instant, u64), Transit>,
+    pub sequence: u64,
+    pub store: HashMap<String, KeyClaim>,
+    /// Runs by request id.
+    pub runs: BTreeMap<String, u32>,
+    /// Open calls: entry and number to request id and key.
+    pub open: HashMap<(usize, u64), (String, String)>,
+    /// Request ids told "not run".
+    pub denied: BTreeSet<String>,
+    pub wrong_answers: u32,
+    pub served: u32,
+    pub faults: f64,
+}
+
+pub fn owner_id(owner: usize) -> NodeId {
+    NodeId::from(100 + owner as u64)
+}
+
+pub fn entry_id(entry: usize) -> NodeId {
+    NodeId::from(1 + entry as u64)
+}
+
+pub fn setup() -> OwnerSetup {
+    OwnerSetup {
+        service: "press".to_owned(),
+        slots: 4,
+        queue_limit: 4,
+        reserved_slots: 1,
+        shares: [0.0; RankLevel::COUNT],
+        most_urgent: RankLevel::MOST_URGENT,
+        key_window: Duration::from_secs(900),
+        slot_rule: SlotRule::Adaptive,
+    }
+}
+
+impl HostileWorld {
+    pub fn new(seed: u64, faults: f64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let entries = (0..ENTRIES)
+            .map(|_| EntryMachine::new("a", ChaCha8Rng::seed_from_u64(rng.random())))
+            .collect();
+        let owners = (0..OWNERS)
+            .map(|owner| (1, OwnerMachine::new(owner_id(owner), 1, setup())))
+            .collect();
+        let mut world = Self {
+            rng,
+            now: Instant::now(),
+            entries,
+            owners,
+            transit: BTreeMap::new(),
+            sequence: 0,
+            store: HashMap::new(),
+            runs: BTreeMap::new(),
+            open: HashMap::new(),
+            denied: BTreeSet::new(),
+            wrong_answers: 0,
+            served: 0,
+            faults,
+        };
+        world.announce();
+        world
+    }
+
+    pub fn announce(&mut self) {
+        let targets: Vec<TargetInfo> = self
+            .owners
+            .iter()
+            .enumerate()
+            .map(|(owner, (boot, _))| TargetInfo {
+                node: owner_id(owner),
+                boot: *boot,
+                data_centre: "a".to_owned(),
+                slots: 4,
+            })
+            .collect();
+        for entry in &mut self.entries {
+            entry
+                .board_mut()
+                .set_targets(BTreeMap::from([("press".to_owned(), targets.clone())]));
+        }
+    }
+
+    pub fn post(&mut self, transit: Transit, most_ms: u64) {
+        self.sequence += 1;
+        let delay = Duration::from_micros(self.rng.random_range(100..most_ms * 1000));
+        self.transit
+            .insert((self.now + delay, self.sequence), transit);
+    }
+
+    /// Posts a frame over the hostile network.
+    pub fn post_frame(&mut self, transit: Transit) {
+        let fate: f64 = self.rng.random();
+        if fate < self.faults {
+            return;
+        }
+        let most_ms = if fate < self.faults * 1.5 { 900 } else { 3 };
+        if fate > 1.0 - self.faults {
+            self.post(transit.clone(), 500);
+        }
+        self.post(transit, most_ms);
+    }
+
+    pub fn call(&mut self, entry: usize, request_id: &str, key: &str, idempotent: bool) {
+        let spec = CallSpec {
+            service: "press".to_owned(),
+            route: "change-die".to_owned(),
+            level: RankLevel::new(self.rng.random_range(0..3)),
+            idempotent,
+            retries: 2,
+            retry_budget: 1.0,
+            spill_load: 1.5,
+            timeout: Duration::from_millis(self.rng.random_range(20..2500)),
+            placement: PlacementRule::Spill,
+            aim: Duration::from_millis(500),
+            retries_errors: false,
+        };
+        let request = CallRequest {
+            method: "POST".to_owned(),
+            path: "/press".to_owned(),
+            body: Bytes::from(request_id.to_owned()),
+            key: key.to_owned(),
+            request_id: request_id.to_owned(),
+            ..CallRequest::default()
+        };
+        let call = self.entries[entry].begin(spec, request, self.now);
+        self.open
+            .insert((entry, call), (request_id.to_owned(), key.to_owned()));
+        self.collect_entry(entry);
+    }
+
+    pub fn collect_entry(&mut self, entry: usize) {
+        for action in self.entries[entry].take_actions() {
+            match action {
+                EntryAction::Send(node, body) => {
+                    let owner = (node.get() - 100) as usize;
+                    self.post_frame(Transit::ToOwner { entry, owner, body });
+                }
+                EntryAction::Reply(call, reply) => self.replied(entry, call, reply.outcome),
+                _ => {}
+            }
+        }
+    }
+
+    pub fn replied(
+        &mut self,
+        entry: usize,
+        call: u64,
+        outcome: Result<sequoiagw_protocol::ServedAnswer, ErrorKind>,
+    ) {
+        let (request_id, _) = self
+            .open
+            .remove(&(entry, call))
+            .expect("one reply for each call");
+        match outcome {
+            Ok(answer) => {
+                self.served += 1;
+                if answer.body != request_id.as_bytes() {
+                    self.wrong_answers += 1;
+                }
+                assert!(
+                    self.runs.contains_key(&request_id),
+                    "{request_id} served unrun"
+                );
+            }
+            Err(kind) if kind.rule().ran == RanState::No => {
+                self.denied.insert(request_id);
+            }
+            Err(_) => {}
+        }
+    }
+
+    pub fn collect_owner(&mut self, owner: usize) {
+        let boot = self.owners[owner].0;
+        for action in self.owners[owner].1.take_actions() {
+            match action {
+                OwnerAction::Answer(node, answer) => {
+                    let entry = (node.get() - 1) as usize;
+                    self.post_frame(Transit::ToEntry {
+                        owner,
+                        boot,
+                        entry,
+                        answer,
+                    });
+                }
+                OwnerAction::Run(request) => {
+                    let id = request.dispatch.request_id.clone();
+                    *self.runs.entry(id.clone()).or_default() += 1;
+                    let result = if self.rng.random_bool(0.05) {
+                        BackendResult::Broken
+                    } else {
+                        let body = Bytes::from(id);
+                        BackendResult::Answered {
+                            status: 200,
+                            headers: Vec::new(),
+                            body,
+                        }
+                    };
+                    self.post(
+                        Transit::Result {
+                            owner,
+                            boot,
+                            run: request.run,
+                            result,
+                        },
+                        60,
+                    );
+                }
+                OwnerAction::Abort(run) => {
+                    let result = BackendResult::Aborted;
+                    self.post(
+                        Transit::Result {
+                            owner,
+                            boot,
+                            run,
+                            result,
+                        },
+                        1,
+                    );
+                }
+                OwnerAction::Claim(claim, _) => self.claim(owner, boot, claim),
+                OwnerAction::Refused(_) => {}
+            }
+        }
+    }
+
+    pub fn claim(&mut self, owner: usize, boot: u64, claim: KeyClaim) {
+        let key = claim.key.clone();
+        if self.rng.random_bool(self.faults) {
+            let standing = None;
+            self.post(
+                Transit::Claimed {
+                    owner,
+                    boot,
+                    key,
+                    standing,
+                },
+                10,
+            );
+            return;
+        }
+        let standing = self.store.entry(key.clone()).or_insert(claim).clone();
+        let lost = self.rng.random_bool(self.faults);
+        let standing = (!lost).then_some(standing);
+        self.post(
+            Transit::Claimed {
+                owner,
+                boot,
+                key,
+                standing,
+            },
+            10,
+        );
+    }
+
+    pub fn restart(&mut self, owner: usize) {
+        let boot = self.owners[owner].0 + 1;
+        self.owners[owner] = (boot, OwnerMachine::new(owner_id(owner), boot, setup()));
+        self.announce();
+        for entry in 0..ENTRIES {
+            self.entries[entry].on_node_lost(owner_id(owner), Some(boot), self.now);
+            self.collect_entry(entry);
+        }
+    }
+
+    /// Lets an owner leave gracefully, and a successor start once its work is done.
+    pub fn leave(&mut self, owner: usize) {
+        let now = self.now;
+        self.owners[owner].1.drain(now);
+        self.collect_owner(owner);
+        let open = self.owners[owner].1.open_calls();
+        self.step(50);
+        assert!(
+            self.owners[owner].1.open_calls() <= open,
+            "a leaver took new work"
+        );
+        while self.owners[owner].1.open_calls() > 0 {
+            self.step(20);
+        }
+        self.restart(owner);
+    }
+
+    pub fn deliver(&mut self, transit: Transit) {
+        let now = self.now;
+        match transit {
+            Transit::ToOwner { entry, owner, body } => {
+                let machine = &mut self.owners[owner].1;
+                match body {
+                    FrameBody::Dispatch(dispatch) => {
+                        machine.on_dispatch(entry_id(entry), 1, dispatch, now);
+                    }
+                    FrameBody::Query(query) => machine.on_query(entry_id(entry), 1, query, now),
+                    FrameBody::Cancel(cancel) => {
+                        machine.on_cancel(entry_id(entry), 1, cancel.call, now);
+                    }
+                    _ => unreachable!("entries send nothing else"),
+                }
+                self.collect_owner(owner);
+            }
+            Transit::ToEntry {
+                owner,
+                boot,
+                entry,
+                answer,
+            } => {
+                self.entries[entry].on_answer(owner_id(owner), boot, answer, now);
+                self.collect_entry(entry);
+            }
+            Transit::Result {
+                owner,
+                boot,
+                run,
+                result,
+            } if self.owners[owner].0 == boot => {
+                self.owners[owner].1.on_result(run, result, now);
+                self.collect_owner(owner);
+            }
+            Transit::Claimed {
+                owner,
+                boot,
+                key,
+                standing,
+            } if self.owners[owner].0 == boot => {
+                self.owners[owner].1.on_claim(&key, standing.as_ref(), now);
+                self.collect_owner(owner);
+            }
+            Transit::Result { .. } | Transit::Claimed { .. } => {}
+        }
+    }
+
+    /// Runs until `until`, delivering what comes due and ticking every machine.
+    pub fn run_until(&mut self, until: Instant) {
+        while self.now < until {
+            self.now += Duration::from_millis(1);
+            while let Some((&place, _)) = self.transit.first_key_value() {
+                if place.0 > self.now {
+                    break;
+                }
+                let transit = self.transit.remove(&place).expect("present");
+                self.deliver(transit);
+            }
+            for entry in 0..ENTRIES {
+                self.entries[entry].on_tick(self.now);
+                self.collect_entry(entry);
+            }
+            for owner in 0..OWNERS {
+                self.owners[owner].1.on_tick(self.now);
+                self.collect_owner(owner);
+            }
+        }
+    }
+
+    pub fn step(&mut self, millis: u64) {
+        self.run_until(self.now + Duration::from_millis(millis));
+    }
+}
--- a/crates/sequoiagw-policy/tests/placement.rs
+++ b/crates/sequoiagw-policy/tests/placement.rs
@@ -1,12 +1,12 @@
 //! Where calls are placed, as their callers and the links see it.
 
-mod support;
+mod fleet_play;
 
-use support::FleetPlay;
-use support::PlayLoad;
-use support::PlayTarget;
-use support::FAR;
-use support::NEAR;
+use fleet_play::FleetPlay;
+use fleet_play::PlayLoad;
+use fleet_play::PlayTarget;
+use fleet_play::FAR;
+use fleet_play::NEAR;
 
 /// Long calls that fill four of ten slots.
 const LONG_CALLS: PlayLoad = PlayLoad {
--- a/crates/sequoiagw-standin/src/small_fleet.rs
+++ b/crates/sequoiagw-standin/src/small_fleet.rs
@@ -48,6 +48,17 @@
     pub seed: u64,
 }
 
+impl FleetPlan {
+    /// A plan with a number of nodes and a seed.
+    pub fn sized(nodes: usize, seed: u64) -> Self {
+        Self {
+            nodes,
+            seed,
+            ..Self::default()
+        }
+    }
+}
+
 impl Default for FleetPlan {
     fn default() -> Self {
         Self {
