Show the machine's own noise beside the added latency

Cause: the path bench gave added p99 of 0.36 to 0.68 ms on one machine and 1.7 to 2.4 ms on this one, and nothing told how much of that is the machine's. It now also makes the same calls with no system in between both times, and prints how far apart these are (noise_p50_ms, noise_p99_ms).

Ruled out: load beside it, which gave 2.48 to 4.75.

--- a/crates/sequoiagw-bench/src/commands/path.rs
+++ b/crates/sequoiagw-bench/src/commands/path.rs
@@ -125,6 +125,9 @@
         },
     ];
     call_all(&ways, rate, WARM_TIME, seed + 1000).await?;
+    // The same with nothing in between both times: what the machine alone makes differ.
+    let twice_direct = [ways[0].clone(), ways[0].clone()];
+    let [one, other] = call_all(&twice_direct, rate, time, seed + 2000).await?;
     let before = cpu_times(&processes);
     let [direct, through] = call_all(&ways, rate, time, seed).await?;
     let per_call: Vec<f64> = cpu_times(&processes)
@@ -147,6 +150,14 @@
             "added_p99_ms",
             millis(&through, 0.99) - millis(&direct, 0.99),
         )
+        .number(
+            "noise_p50_ms",
+            (millis(&one, 0.5) - millis(&other, 0.5)).abs(),
+        )
+        .number(
+            "noise_p99_ms",
+            (millis(&one, 0.99) - millis(&other, 0.99)).abs(),
+        )
         .with("target_p99_ms", ADDED_TARGET_MS)
         .number("entry_cpu_us_per_call", per_call[0])
         .number("owner_cpu_us_per_call", per_call[1])
