Bound trailers and interim responses that come without end

Cause: a chunk trailer was limited by line and an interim response not at all, so a backend server that sends either without end kept its run reading until the deadline. A body of 16 MB on each of 12 slots exceeds a node's 160 MB; frames of more than 4 MB broke their link anyway, so the limit of a body is now 4 MB. Ruled out by the same test: endless heads, sized, chunked and unframed bodies, and bytes that aren't HTTP were cut off before.

--- a/crates/sequoiagw-http/src/body_decoder.rs
+++ b/crates/sequoiagw-http/src/body_decoder.rs
@@ -9,6 +9,8 @@
 
 /// Largest unfinished chunk size line or trailer line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
+/// Largest trailer, in bytes without line breaks.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
 /// What a decoder expects next.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,6 +36,7 @@
     chunked: bool,
     body: BytesMut,
     limit: u64,
+    trailer_bytes: usize,
 }
 
 impl BodyDecoder {
@@ -50,6 +53,7 @@
             chunked: length == BodyLength::Chunked,
             body: BytesMut::new(),
             limit,
+            trailer_bytes: 0,
         }
     }
 
@@ -154,6 +158,10 @@
         if line.is_empty() {
             self.state = DecoderState::Complete;
         }
+        self.trailer_bytes += line.len();
+        if self.trailer_bytes > MAX_TRAILER_BYTES {
+            return Err(HttpParseError::Malformed);
+        }
         Ok(true)
     }
 }
--- a/crates/sequoiagw-http/src/http_connection.rs
+++ b/crates/sequoiagw-http/src/http_connection.rs
@@ -169,6 +169,7 @@
 struct ResponseReader<'a> {
     method: &'a str,
     body_limit: u64,
+    interim_responses: usize,
     head: Option<ResponseHead>,
     decoder: Option<BodyDecoder>,
 }
@@ -178,6 +179,7 @@
         Self {
             method,
             body_limit,
+            interim_responses: 0,
             head: None,
             decoder: None,
         }
@@ -186,8 +188,13 @@
     /// Reads from the buffer; returns the response once it is complete.
     fn read_from(&mut self, buffer: &mut BytesMut) -> Result<Option<HttpResponse>, ExchangeError> {
         if self.head.is_none() {
-            let head = parse_response(buffer, self.method, MAX_HEAD_BYTES)
-                .map_err(|_| ExchangeError::Truncated)?;
+            let head = parse_response(
+                buffer,
+                self.method,
+                MAX_HEAD_BYTES,
+                &mut self.interim_responses,
+            )
+            .map_err(|_| ExchangeError::Truncated)?;
             let Some(head) = head else {
                 return Ok(None);
             };
--- a/crates/sequoiagw-http/src/message_head.rs
+++ b/crates/sequoiagw-http/src/message_head.rs
@@ -7,6 +7,8 @@
 
 /// Largest number of headers of a message.
 const MAX_HEADERS: usize = 96;
+/// Largest number of interim responses before a response.
+const MAX_INTERIM_RESPONSES: usize = 32;
 
 /// Headers that concern a single connection.
 const CONNECTION_HEADERS: &[&str] = &[
@@ -131,14 +133,15 @@
 }
 
 /// Removes the head of a response to a request with `method` from the buffer; `None` until it is
-/// complete. Interim responses (status 100 to 199) are skipped.
+/// complete. Interim responses (status 100 to 199) are skipped and added to `interim_responses`.
 ///
-/// Errors: the bytes aren't a valid response head or have too many headers, or an incomplete head is
-/// over `max_bytes`.
+/// Errors: the bytes aren't a valid response head or have too many headers, an incomplete head is
+/// over `max_bytes`, or there are too many interim responses.
 pub fn parse_response(
     buffer: &mut BytesMut,
     method: &str,
     max_bytes: usize,
+    interim_responses: &mut usize,
 ) -> Result<Option<ResponseHead>, HttpParseError> {
     loop {
         let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
@@ -153,6 +156,10 @@
         let headers = read_headers(parsed.headers)?;
         let version = parsed.version;
         if (100..200).contains(&status) {
+            *interim_responses += 1;
+            if *interim_responses > MAX_INTERIM_RESPONSES {
+                return Err(HttpParseError::Malformed);
+            }
             buffer.advance(length);
             continue;
         }
--- a/crates/sequoiagw-http/tests/connections.rs
+++ b/crates/sequoiagw-http/tests/connections.rs
@@ -205,3 +205,59 @@
         })
         .await;
 }
+
+/// Starts a server that answers with `head` and then repeats `filler` until its peer closes the
+/// connection. The receiver gets the number of bytes that could be written.
+async fn start_endless_server(
+    head: &'static str,
+    filler: &'static str,
+) -> (SocketAddr, tokio::sync::oneshot::Receiver<usize>) {
+    let listener = TcpListener::bind("127.0.0.1:0")
+        .await
+        .expect("the listener should bind");
+    let address = listener
+        .local_addr()
+        .expect("the listener should have an address");
+    let (sender, receiver) = tokio::sync::oneshot::channel();
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.expect("a connection should arrive");
+        let block = filler.repeat(1024);
+        let mut written = head.len();
+        let _ = stream.write_all(head.as_bytes()).await;
+        while stream.write_all(block.as_bytes()).await.is_ok() {
+            written += block.len();
+        }
+        let _ = sender.send(written);
+    });
+    (address, receiver)
+}
+
+#[tokio::test]
+async fn bytes_without_end_are_cut_off_and_the_connection_closed() {
+    let cases = [
+        ("HTTP/1.1 200 OK\r\nX-Filler: ", "x"),
+        ("HTTP/1.1 200 OK\r\n\r\n", "x"),
+        (
+            "HTTP/1.1 200 OK\r\nContent-Length: 99999999999\r\n\r\n",
+            "x",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n",
+            "1\r\nx\r\n",
+        ),
+        (
+            "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+            "X-Trailer: x\r\n",
+        ),
+        ("", "HTTP/1.1 100 Continue\r\n\r\n"),
+        ("", "no answer at all "),
+    ];
+    for (head, filler) in cases {
+        let (address, written) = start_endless_server(head, filler).await;
+        let (result, reusable) = exchange(address).await;
+        assert!(result.is_err(), "{head}{filler}");
+        assert!(!reusable, "{head}{filler}");
+        let written = written.await.expect("the server should notice the close");
+        assert!(written < 64 * 1024 * 1024, "{head}{filler}: {written}");
+    }
+}
--- a/crates/sequoiagw-http/tests/message_parts.rs
+++ b/crates/sequoiagw-http/tests/message_parts.rs
@@ -82,14 +82,14 @@
 #[test]
 fn skips_interim_responses() {
     let mut buffer = BytesMut::from("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 X\r\n\r\n");
-    let head = parse_response(&mut buffer, "GET", LIMIT).expect("a valid head");
+    let head = parse_response(&mut buffer, "GET", LIMIT, &mut 0).expect("a valid head");
     assert_eq!(head.expect("a complete head").status, 204);
 }
 
 #[test]
 fn response_without_length_ends_with_its_connection() {
     let mut buffer = BytesMut::from("HTTP/1.1 200 OK\r\n\r\nabc");
-    let head = parse_response(&mut buffer, "GET", LIMIT).expect("a valid head");
+    let head = parse_response(&mut buffer, "GET", LIMIT, &mut 0).expect("a valid head");
     let head = head.expect("a complete head");
     assert_eq!(head.body, BodyLength::UntilClose);
     assert!(!head.keep_alive);
--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -31,8 +31,8 @@
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time for which a connection may have been idle and still be reused.
 const MAX_IDLE_TIME: Duration = Duration::from_secs(3);
-/// Largest response body, in bytes.
-const MAX_RESPONSE_BYTES: u64 = 16 * 1024 * 1024;
+/// Largest response body, in bytes. One of this size on each slot fits into the memory of a node.
+const MAX_RESPONSE_BYTES: u64 = 4 * 1024 * 1024;
 /// Largest number of idle connections in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 /// Status with which a backend server refuses a request that names another process.
