Send large frames in parts, paced over the host's bandwidth

When two nodes opened links at once, each closed the other's, and a reset link lingered until its write ended.

Nodes of earlier releases get whole frames.

Ruled out: parts without the pace.

--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -1,6 +1,7 @@
 //! Handling of frames from peers and of links that were established, lost or refused.
 
 use sequoiagw_protocol::FrameBody;
+use sequoiagw_protocol::FrameKind;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PeerFrame;
@@ -23,6 +24,13 @@
         self.process_actions(now);
     }
 
+    /// Handles a part of a large frame from a node, which shows that the node is alive; `bytes` is
+    /// the part's encoded size.
+    pub fn on_part_received(&mut self, node: NodeId, bytes: usize, now: Instant) {
+        self.counters.add_frame_bytes(FrameKind::Call, bytes);
+        self.entry.on_contact(node, now);
+    }
+
     /// Handles a new link to a node. When the node has restarted, the link shows its new boot
     /// long before its new registration arrives through the store.
     ///
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -172,6 +172,9 @@
             CoreEvent::Frame { frame, bytes } => {
                 self.with_core(|core, now| core.on_frame(frame, bytes, now));
             }
+            CoreEvent::PartReceived { node, bytes } => {
+                self.with_core(|core, now| core.on_part_received(node, bytes, now));
+            }
             CoreEvent::LinkEstablished { node, boot } => {
                 self.with_core(|core, now| core.on_link_established(node, boot, now));
             }
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -8,6 +8,7 @@
 use rand::Rng;
 use sequoiagw_http::ServerPhase;
 use sequoiagw_node::NodeCounters;
+use sequoiagw_node::SendPacer;
 use sequoiagw_node::TcpLinks;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::NodeId;
@@ -83,7 +84,8 @@
     let (events, receiver) = mpsc::unbounded_channel();
     let node = NodeId::from_name(&settings.name);
     let address = NodeAddress::from(settings.peer_address);
-    let links = TcpLinks::new(node, boot, address, events.clone());
+    let pacer = SendPacer::new(settings.link_mbps);
+    let links = TcpLinks::new(node, boot, address, events.clone(), pacer);
     let header_names = *dependencies.format.headers();
     let backend = MeshBackend::new(settings.backend.address, header_names, events);
     info!(
--- a/crates/sequoiagw-node/src/core_event.rs
+++ b/crates/sequoiagw-node/src/core_event.rs
@@ -37,6 +37,13 @@
         /// Length of the frame on the wire, in bytes.
         bytes: usize,
     },
+    /// A part of a large frame arrived from a peer.
+    PartReceived {
+        /// Node at the other end.
+        node: NodeId,
+        /// Length of the part on the wire, in bytes.
+        bytes: usize,
+    },
     /// The handshake of a link to a peer is complete.
     LinkEstablished {
         /// Node at the other end.
--- a/crates/sequoiagw-node/src/core_messages.rs
+++ b/crates/sequoiagw-node/src/core_messages.rs
@@ -77,7 +77,8 @@
             // Compiled versions are sent only between nodes that follow the platform's own
             // configuration.
             FrameBody::VersionDelta(_) => self.counters.count("frame.unexpected"),
-            FrameBody::Hello(_) => {}
+            // Parts are joined by the links.
+            FrameBody::Hello(_) | FrameBody::Part(_) => {}
         }
     }
 
--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -25,6 +25,7 @@
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FleetQuery;
 use sequoiagw_protocol::FrameBody;
+use sequoiagw_protocol::FrameKind;
 use sequoiagw_protocol::MemberRecord;
 use sequoiagw_protocol::MemberState;
 use sequoiagw_protocol::NodeAddress;
@@ -240,6 +241,10 @@
     pub fn handle(&mut self, event: CoreEvent, now: Instant) {
         match event {
             CoreEvent::Frame { frame, bytes } => self.on_frame(frame, bytes, now),
+            CoreEvent::PartReceived { node, bytes } => {
+                self.counters.add_frame_bytes(FrameKind::Call, bytes);
+                self.entry.on_contact(node, now);
+            }
             // Boots are taken from member records and frames instead.
             CoreEvent::LinkEstablished { .. } => {}
             CoreEvent::LinkLost(address) => {
--- a/crates/sequoiagw-node/src/node_process.rs
+++ b/crates/sequoiagw-node/src/node_process.rs
@@ -24,6 +24,7 @@
 use crate::NodeHandle;
 use crate::NodeIdentity;
 use crate::NodeSettings;
+use crate::SendPacer;
 use crate::TcpLinks;
 
 /// Interval between announcements of a backend server that is named in the settings.
@@ -55,7 +56,13 @@
     let identity = identity_of(&settings);
     let (events, receiver) = mpsc::unbounded_channel();
     let node = NodeId::from_name(&identity.name);
-    let links = TcpLinks::new(node, identity.boot, identity.address, events.clone());
+    let links = TcpLinks::new(
+        node,
+        identity.boot,
+        identity.address,
+        events.clone(),
+        SendPacer::new(0),
+    );
     let dependencies = NodeDependencies {
         store: Rc::new(EtcdStore::new(
             settings.store_endpoints.clone(),
--- /dev/null
+++ b/crates/sequoiagw-node/src/send_pacer.rs
@@ -0,0 +1,46 @@
+//! Pace at which a node sends the parts of large frames.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+/// Fraction of the host's bandwidth for parts of large frames; the rest is for small ones.
+const LARGE_FRAME_FRACTION: f64 = 0.85;
+/// Bits of a megabit divided by the bits of a byte.
+const BYTES_PER_S_PER_MBPS: f64 = 125_000.0;
+
+/// Spreads the parts of large frames, on all links of a node together, over the bandwidth of its
+/// host.
+///
+/// Serves hosts whose bandwidth a few large answers use up. Without it each link fills the
+/// buffers of its connection, and small frames wait behind all of them in the host's own queue.
+#[derive(Debug)]
+pub struct SendPacer {
+    /// `None` for a host without a known limit.
+    bytes_per_s: Option<f64>,
+    free_at: Cell<Option<Instant>>,
+}
+
+impl SendPacer {
+    /// Creates the pacer of a host with this bandwidth in megabits per second, 0 if it is unknown.
+    pub fn new(link_mbps: u32) -> Self {
+        let bandwidth = f64::from(link_mbps) * BYTES_PER_S_PER_MBPS * LARGE_FRAME_FRACTION;
+        Self {
+            bytes_per_s: (bandwidth > 0.0).then_some(bandwidth),
+            free_at: Cell::new(None),
+        }
+    }
+
+    /// Reserves bandwidth for a part and returns the time at which it may be sent, which is after
+    /// all parts reserved before.
+    pub fn reserve(&self, bytes: usize, now: Instant) -> Instant {
+        let Some(bytes_per_s) = self.bytes_per_s else {
+            return now;
+        };
+        let start = self.free_at.get().map_or(now, |free_at| free_at.max(now));
+        let duration = Duration::from_secs_f64(bytes as f64 / bytes_per_s);
+        self.free_at.set(Some(start + duration));
+        start
+    }
+}
--- a/crates/sequoiagw-node/src/tcp_links.rs
+++ b/crates/sequoiagw-node/src/tcp_links.rs
@@ -1,5 +1,6 @@
 //! Links over TCP: one connection for each pair of nodes, opened by the node that sends first.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -24,6 +25,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::oneshot;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio::time::Instant;
@@ -32,9 +34,13 @@
 use tracing::debug;
 use tracing::warn;
 
+use crate::part_joiner::PartJoiner;
+use crate::send_queue::SendQueue;
+use crate::send_queue::PART_BYTES;
 use crate::CoreEvent;
 use crate::EventSender;
 use crate::PeerLinks;
+use crate::SendPacer;
 
 /// Time limit for opening a connection, including the exchange of hello frames.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -56,6 +62,17 @@
 struct LinkQueue {
     id: u64,
     sender: UnboundedSender<PeerFrame>,
+    /// Ends the link at once. Dropped without being used when another link replaces this one, which
+    /// then still receives.
+    reset: oneshot::Sender<()>,
+}
+
+/// The link's ends of its [`LinkQueue`].
+#[derive(Debug)]
+struct QueueEnds {
+    id: u64,
+    receiver: UnboundedReceiver<PeerFrame>,
+    reset: oneshot::Receiver<()>,
 }
 
 #[derive(Debug)]
@@ -71,6 +88,7 @@
     table: Rc<RefCell<LinkTable>>,
     hello: Rc<PeerFrame>,
     events: EventSender,
+    pacer: Rc<SendPacer>,
 }
 
 /// Peer at the other end of a link.
@@ -78,13 +96,21 @@
 struct LinkPeer {
     address: NodeAddress,
     boot: u64,
+    joins_parts: bool,
 }
 
 impl TcpLinks {
     /// Creates the links of a node that accepts connections at `address`.
-    pub fn new(node: NodeId, boot: u64, address: NodeAddress, events: EventSender) -> Self {
+    pub fn new(
+        node: NodeId,
+        boot: u64,
+        address: NodeAddress,
+        events: EventSender,
+        pacer: SendPacer,
+    ) -> Self {
         let hello = FrameBody::Hello(LinkHello {
             address: address.to_string(),
+            joins_parts: true,
         });
         let table = LinkTable {
             links: HashMap::new(),
@@ -95,6 +121,7 @@
             table: Rc::new(RefCell::new(table)),
             hello: Rc::new(PeerFrame::new(node, boot, hello)),
             events,
+            pacer: Rc::new(pacer),
         }
     }
 
@@ -113,9 +140,8 @@
                             timeout(CONNECT_TIMEOUT, links.exchange_hellos(stream)).await;
                         drop(permit);
                         if let Ok(Some((reader, writer, peer))) = handshake {
-                            let (sender, receiver) = mpsc::unbounded_channel();
-                            let id = links.register(peer.address, sender);
-                            links.serve(id, peer, reader, writer, receiver, false).await;
+                            let (_, ends) = links.register(peer.address);
+                            links.serve(peer, reader, writer, ends, false).await;
                         }
                     });
                 }
@@ -127,13 +153,29 @@
         }
     }
 
-    fn register(&self, address: NodeAddress, sender: UnboundedSender<PeerFrame>) -> u64 {
+    /// Makes a new link the one on which frames to `address` are sent, and returns the sender of its
+    /// queue.
+    fn register(&self, address: NodeAddress) -> (UnboundedSender<PeerFrame>, QueueEnds) {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        let (reset_sender, reset) = oneshot::channel();
         let mut table = self.table.borrow_mut();
         table.next_id += 1;
         let id = table.next_id;
         table.unreachable_until.remove(&address);
-        table.links.insert(address, LinkQueue { id, sender });
-        id
+        let queue = LinkQueue {
+            id,
+            sender: sender.clone(),
+            reset: reset_sender,
+        };
+        table.links.insert(address, queue);
+        (
+            sender,
+            QueueEnds {
+                id,
+                receiver,
+                reset,
+            },
+        )
     }
 
     fn unregister(&self, address: NodeAddress, id: u64) {
@@ -180,34 +222,30 @@
             LinkPeer {
                 address,
                 boot: frame.boot,
+                joins_parts: hello.joins_parts,
             },
         ))
     }
 
-    async fn connect(
-        self,
-        id: u64,
-        address: NodeAddress,
-        mut receiver: UnboundedReceiver<PeerFrame>,
-    ) {
+    async fn connect(self, address: NodeAddress, mut ends: QueueEnds) {
         let handshake = timeout(CONNECT_TIMEOUT, async {
             let stream = TcpStream::connect(address.get()).await.ok()?;
             self.exchange_hellos(stream).await
         });
         match handshake.await {
             Ok(Some((reader, writer, peer))) if peer.address == address => {
-                self.serve(id, peer, reader, writer, receiver, true).await;
+                self.serve(peer, reader, writer, ends, true).await;
             }
             _ => {
-                self.unregister(address, id);
+                self.unregister(address, ends.id);
                 let delay = RETRY_DELAY.mul_f64(rand::rng().random_range(0.5..1.5));
                 self.table
                     .borrow_mut()
                     .unreachable_until
                     .insert(address, Instant::now() + delay);
-                receiver.close();
+                ends.receiver.close();
                 let mut frames = Vec::new();
-                while let Ok(frame) = receiver.try_recv() {
+                while let Ok(frame) = ends.receiver.try_recv() {
                     frames.push(frame);
                 }
                 let _ = self.events.send(CoreEvent::Undelivered(address, frames));
@@ -215,62 +253,131 @@
         }
     }
 
-    /// Transfers frames in both directions until the link ends.
+    /// Transfers frames in both directions until the link ends. Reading and writing don't wait for
+    /// each other: two nodes that send each other more than a connection buffers would stop
+    /// otherwise.
     async fn serve(
         &self,
-        id: u64,
         peer: LinkPeer,
-        mut reader: LinkReader,
-        mut writer: LinkWriter,
-        mut receiver: UnboundedReceiver<PeerFrame>,
+        reader: LinkReader,
+        writer: LinkWriter,
+        ends: QueueEnds,
         opened_here: bool,
     ) {
-        let mut unwritten = Vec::new();
-        let mut last_frame = Instant::now();
-        let lost = loop {
-            let idle_deadline = last_frame + IDLE_TIMEOUT;
-            tokio::select! {
-                frame = reader.next() => match frame {
-                    Some(Ok(frame)) => {
-                        last_frame = Instant::now();
-                        let bytes = frame.encoded_len() + FRAME_OVERHEAD_BYTES;
-                        let _ = self.events.send(CoreEvent::Frame { frame, bytes });
-                    }
-                    Some(Err(error)) => {
-                        warn!(event = "link_failed", peer = %peer.address, error = %error);
-                        break true;
-                    }
-                    None => break true,
-                },
-                frame = receiver.recv() => match frame {
-                    Some(frame) => {
-                        last_frame = Instant::now();
-                        if !write_frames(&mut writer, frame, &mut receiver, peer, &mut unwritten).await {
-                            break true;
-                        }
-                        if !unwritten.is_empty() {
-                            let frames = std::mem::take(&mut unwritten);
-                            let _ = self.events.send(CoreEvent::Undelivered(peer.address, frames));
-                        }
-                    }
-                    None => break false,
-                },
-                () = tokio::time::sleep_until(idle_deadline), if opened_here => break false,
-            }
+        let QueueEnds {
+            id,
+            mut receiver,
+            reset,
+        } = ends;
+        let last_frame = Cell::new(Instant::now());
+        let mut queue = SendQueue::new(peer.joins_parts);
+        let lost = tokio::select! {
+            () = self.read_frames(reader, peer, &last_frame) => true,
+            () = self.write_frames(writer, &mut receiver, &mut queue, peer, &last_frame) => true,
+            Ok(()) = reset => false,
+            () = wait_until_idle(&last_frame), if opened_here => false,
         };
         debug!(event = "link_closed", peer = %peer.address, lost);
         self.unregister(peer.address, id);
         receiver.close();
+        let mut unsent = queue.into_unsent();
         while let Ok(frame) = receiver.try_recv() {
-            unwritten.push(frame);
+            unsent.push(frame);
         }
         if lost {
             let _ = self.events.send(CoreEvent::LinkLost(peer.address));
         }
-        if !unwritten.is_empty() {
+        if !unsent.is_empty() {
+            let _ = self
+                .events
+                .send(CoreEvent::Undelivered(peer.address, unsent));
+        }
+    }
+
+    /// Reports the frames that arrive until the link fails.
+    async fn read_frames(
+        &self,
+        mut reader: LinkReader,
+        peer: LinkPeer,
+        last_frame: &Cell<Instant>,
+    ) {
+        let mut joiner = PartJoiner::default();
+        while let Some(read) = reader.next().await {
+            let frame = match read {
+                Ok(frame) => frame,
+                Err(error) => {
+                    warn!(event = "link_failed", peer = %peer.address, error = %error);
+                    return;
+                }
+            };
+            last_frame.set(Instant::now());
+            let node = frame.sender_id();
+            let bytes = frame.encoded_len() + FRAME_OVERHEAD_BYTES;
+            let event = match joiner.join(frame) {
+                Ok(Some(frame)) => CoreEvent::Frame { frame, bytes },
+                Ok(None) => CoreEvent::PartReceived { node, bytes },
+                Err(error) => {
+                    warn!(event = "link_failed", peer = %peer.address, error = %error);
+                    return;
+                }
+            };
+            let _ = self.events.send(event);
+        }
+    }
+
+    /// Writes the frames of the receiver until the link fails. When another link replaces this
+    /// one, the frames that wait are still written; the peer may go on sending on this link.
+    ///
+    /// Dispatches to another boot of the peer are reported as undelivered instead.
+    async fn write_frames(
+        &self,
+        mut writer: LinkWriter,
+        receiver: &mut UnboundedReceiver<PeerFrame>,
+        queue: &mut SendQueue,
+        peer: LinkPeer,
+        last_frame: &Cell<Instant>,
+    ) {
+        let mut next_part_at = None;
+        loop {
+            while let Ok(frame) = receiver.try_recv() {
+                self.queue_frame(frame, queue, peer);
+            }
+            while let Some(frame) = queue.pop_small() {
+                last_frame.set(Instant::now());
+                if writer.feed(&frame).await.is_err() {
+                    return;
+                }
+            }
+            if writer.flush().await.is_err() {
+                return;
+            }
+            let part_at = queue.has_large().then(|| {
+                *next_part_at.get_or_insert_with(|| self.pacer.reserve(PART_BYTES, Instant::now()))
+            });
+            tokio::select! {
+                biased;
+                () = sleep_until(part_at) => {
+                    next_part_at = None;
+                    let Some(part) = queue.pop_part() else {
+                        continue;
+                    };
+                    last_frame.set(Instant::now());
+                    if writer.feed(&part).await.is_err() {
+                        return;
+                    }
+                }
+                Some(frame) = receiver.recv() => self.queue_frame(frame, queue, peer),
+            }
+        }
+    }
+
+    fn queue_frame(&self, frame: PeerFrame, queue: &mut SendQueue, peer: LinkPeer) {
+        if is_for_other_boot(&frame, peer.boot) {
             let _ = self
                 .events
-                .send(CoreEvent::Undelivered(peer.address, unwritten));
+                .send(CoreEvent::Undelivered(peer.address, vec![frame]));
+        } else {
+            queue.push(frame);
         }
     }
 }
@@ -278,26 +385,23 @@
 type LinkReader = FramedRead<OwnedReadHalf, FrameCodec>;
 type LinkWriter = FramedWrite<OwnedWriteHalf, FrameCodec>;
 
-/// Writes a frame and all further frames in the queue. Returns whether the link is still usable.
-///
-/// Dispatches to another boot of the peer are added to `unwritten` instead.
-async fn write_frames(
-    writer: &mut LinkWriter,
-    first: PeerFrame,
-    receiver: &mut UnboundedReceiver<PeerFrame>,
-    peer: LinkPeer,
-    unwritten: &mut Vec<PeerFrame>,
-) -> bool {
-    let mut next = Some(first);
-    while let Some(frame) = next {
-        if is_for_other_boot(&frame, peer.boot) {
-            unwritten.push(frame);
-        } else if writer.feed(&frame).await.is_err() {
-            return false;
+/// Sleeps until a time, or forever without one.
+async fn sleep_until(time: Option<Instant>) {
+    match time {
+        Some(time) => tokio::time::sleep_until(time).await,
+        None => std::future::pending().await,
+    }
+}
+
+/// Waits until no frame has been sent or received for [`IDLE_TIMEOUT`].
+async fn wait_until_idle(last_frame: &Cell<Instant>) {
+    loop {
+        let idle_deadline = last_frame.get() + IDLE_TIMEOUT;
+        if Instant::now() >= idle_deadline {
+            return;
         }
-        next = receiver.try_recv().ok();
+        tokio::time::sleep_until(idle_deadline).await;
     }
-    writer.flush().await.is_ok()
 }
 
 fn is_for_other_boot(frame: &PeerFrame, boot: u64) -> bool {
@@ -327,13 +431,16 @@
             return;
         }
         drop(table);
-        let (sender, receiver) = mpsc::unbounded_channel();
+        let (sender, ends) = self.register(to);
         let _ = sender.send(frame);
-        let id = self.register(to, sender);
-        tokio::task::spawn_local(self.clone().connect(id, to, receiver));
+        tokio::task::spawn_local(self.clone().connect(to, ends));
     }
 
     fn reset(&self, to: NodeAddress) {
-        self.table.borrow_mut().links.remove(&to);
+        let queue = self.table.borrow_mut().links.remove(&to);
+        if let Some(queue) = queue {
+            // Sending fails if the link has just ended.
+            let _ = queue.reset.send(());
+        }
     }
 }
--- a/crates/sequoiagw-node/tests/edges.rs
+++ b/crates/sequoiagw-node/tests/edges.rs
@@ -18,6 +18,7 @@
 use sequoiagw_node::NodeHandle;
 use sequoiagw_node::NodeIdentity;
 use sequoiagw_node::NodeSettings;
+use sequoiagw_node::SendPacer;
 use sequoiagw_node::TcpLinks;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::NodeId;
@@ -94,7 +95,7 @@
         seed: 1,
     };
     let node = NodeId::from_name(name);
-    let links = TcpLinks::new(node, 1, identity.address, events.clone());
+    let links = TcpLinks::new(node, 1, identity.address, events.clone(), SendPacer::new(0));
     let dependencies = NodeDependencies {
         store: Rc::new(store.client()),
         links: Box::new(links.clone()),
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -165,4 +165,8 @@
     /// Address at which the sender accepts links, `ip:port`.
     #[prost(string, tag = "1")]
     pub address: String,
+    /// Whether the sender joins the parts of large frames. A node of an earlier release doesn't,
+    /// and gets every frame whole.
+    #[prost(bool, tag = "2")]
+    pub joins_parts: bool,
 }
--- a/crates/sequoiagw-protocol/src/peer_frame.rs
+++ b/crates/sequoiagw-protocol/src/peer_frame.rs
@@ -18,6 +18,7 @@
 use crate::ConfigRequest;
 use crate::FleetQuery;
 use crate::FleetReport;
+use crate::FramePart;
 use crate::JoinRequest;
 use crate::LinkHello;
 use crate::NodeId;
@@ -41,7 +42,7 @@
     /// Message in the frame; absent if the receiver doesn't support it.
     #[prost(
         oneof = "FrameBody",
-        tags = "10, 11, 12, 13, 14, 15, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 40, 41"
+        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 40, 41"
     )]
     pub body: Option<FrameBody>,
 }
@@ -88,6 +89,9 @@
     /// First frame on a link.
     #[prost(message, tag = "15")]
     Hello(LinkHello),
+    /// Part of a large frame.
+    #[prost(message, tag = "16")]
+    Part(FramePart),
     /// Changes between two configuration versions.
     #[prost(message, tag = "20")]
     Delta(ConfigDelta),
@@ -149,9 +153,11 @@
             Self::Versions(_) | Self::Activate(_) | Self::FleetQuery(_) | Self::FleetReport(_) => {
                 FrameKind::Version
             }
-            Self::Dispatch(_) | Self::Answer(_) | Self::Query(_) | Self::Cancel(_) => {
-                FrameKind::Call
-            }
+            Self::Part(_)
+            | Self::Dispatch(_)
+            | Self::Answer(_)
+            | Self::Query(_)
+            | Self::Cancel(_) => FrameKind::Call,
             Self::Claim(_) | Self::ClaimReply(_) => FrameKind::Claim,
         }
     }
