Place and admit large answers by the host's link

Owners now report how long their link is taken, entries add it for routes with large answers, owners refuse such a call early when the link would make it late, and a link drops an answer past its caller's deadline.

Tests of placement, refusal and expiry play it without a network.

--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::rc::Rc;
+use std::time::Duration;
 
 use rand::Rng;
 use rand::SeedableRng;
@@ -171,6 +172,11 @@
         };
     }
 
+    /// Sets the time until the large frames that wait at this host have been sent.
+    pub fn set_link_wait(&mut self, link_wait: Duration) {
+        self.owner.set_link_wait(link_wait);
+    }
+
     /// Number of unfinished calls, as entry and as owner.
     pub fn open_calls(&self) -> usize {
         self.entry.open_calls() + self.owner.open_calls()
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -148,7 +148,12 @@
     where
         Change: FnOnce(&mut MeshCore, Instant) -> Output,
     {
-        let output = change(&mut self.inner.borrow_mut().core, Instant::now());
+        let output = {
+            let mut inner = self.inner.borrow_mut();
+            let link_wait = inner.links.large_frame_wait();
+            inner.core.set_link_wait(link_wait);
+            change(&mut inner.core, Instant::now())
+        };
         self.run_actions();
         output
     }
--- a/crates/sequoiagw-node/src/node_edges.rs
+++ b/crates/sequoiagw-node/src/node_edges.rs
@@ -1,6 +1,7 @@
 //! Interfaces through which a node does its I/O.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use sequoiagw_policy::RunId;
 use sequoiagw_policy::RunRequest;
@@ -22,6 +23,12 @@
     /// failure of an established link as [`CoreEvent::LinkLost`].
     fn send(&self, to: NodeAddress, frame: PeerFrame);
 
+    /// Time until the large frames that wait at this host have been sent, zero where that isn't
+    /// known.
+    fn large_frame_wait(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// Drops the link to a node, so that the next frame opens a new one.
     fn reset(&self, to: NodeAddress);
 }
--- a/crates/sequoiagw-node/src/send_pacer.rs
+++ b/crates/sequoiagw-node/src/send_pacer.rs
@@ -20,6 +20,8 @@
     /// `None` for a host without a known limit.
     bytes_per_s: Option<f64>,
     free_at: Cell<Option<Instant>>,
+    /// Bytes of large frames that wait on all links.
+    waiting_bytes: Cell<usize>,
 }
 
 impl SendPacer {
@@ -29,6 +31,7 @@
         Self {
             bytes_per_s: (bandwidth > 0.0).then_some(bandwidth),
             free_at: Cell::new(None),
+            waiting_bytes: Cell::new(0),
         }
     }
 
@@ -43,4 +46,23 @@
         self.free_at.set(Some(start + duration));
         start
     }
+
+    /// Counts the bytes of a large frame that begins to wait.
+    pub fn add_waiting(&self, bytes: usize) {
+        self.waiting_bytes.set(self.waiting_bytes.get() + bytes);
+    }
+
+    /// Counts bytes that have been sent or dropped.
+    pub fn remove_waiting(&self, bytes: usize) {
+        let left = self.waiting_bytes.get().saturating_sub(bytes);
+        self.waiting_bytes.set(left);
+    }
+
+    /// Time until the large frames that wait now have been sent, zero without a known bandwidth.
+    pub fn large_frame_wait(&self) -> Duration {
+        let waiting_bytes = self.waiting_bytes.get() as f64;
+        self.bytes_per_s.map_or(Duration::ZERO, |bytes_per_s| {
+            Duration::from_secs_f64(waiting_bytes / bytes_per_s)
+        })
+    }
 }
--- a/crates/sequoiagw-node/src/tcp_links.rs
+++ b/crates/sequoiagw-node/src/tcp_links.rs
@@ -18,6 +18,7 @@
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PeerFrame;
+use sequoiagw_protocol::LARGE_FRAME_BYTES;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpListener;
@@ -36,7 +37,6 @@
 
 use crate::part_joiner::PartJoiner;
 use crate::send_queue::SendQueue;
-use crate::send_queue::PART_BYTES;
 use crate::CoreEvent;
 use crate::EventSender;
 use crate::PeerLinks;
@@ -270,7 +270,7 @@
             reset,
         } = ends;
         let last_frame = Cell::new(Instant::now());
-        let mut queue = SendQueue::new(peer.joins_parts);
+        let mut queue = SendQueue::new(peer.joins_parts, Rc::clone(&self.pacer));
         let lost = tokio::select! {
             () = self.read_frames(reader, peer, &last_frame) => true,
             () = self.write_frames(writer, &mut receiver, &mut queue, peer, &last_frame) => true,
@@ -280,7 +280,7 @@
         debug!(event = "link_closed", peer = %peer.address, lost);
         self.unregister(peer.address, id);
         receiver.close();
-        let mut unsent = queue.into_unsent();
+        let mut unsent = queue.take_unsent();
         while let Ok(frame) = receiver.try_recv() {
             unsent.push(frame);
         }
@@ -352,13 +352,14 @@
                 return;
             }
             let part_at = queue.has_large().then(|| {
-                *next_part_at.get_or_insert_with(|| self.pacer.reserve(PART_BYTES, Instant::now()))
+                *next_part_at
+                    .get_or_insert_with(|| self.pacer.reserve(LARGE_FRAME_BYTES, Instant::now()))
             });
             tokio::select! {
                 biased;
                 () = sleep_until(part_at) => {
                     next_part_at = None;
-                    let Some(part) = queue.pop_part() else {
+                    let Some(part) = queue.pop_part(Instant::now()) else {
                         continue;
                     };
                     last_frame.set(Instant::now());
@@ -377,7 +378,7 @@
                 .events
                 .send(CoreEvent::Undelivered(peer.address, vec![frame]));
         } else {
-            queue.push(frame);
+            queue.push(frame, Instant::now());
         }
     }
 }
@@ -436,6 +437,10 @@
         tokio::task::spawn_local(self.clone().connect(to, ends));
     }
 
+    fn large_frame_wait(&self) -> Duration {
+        self.pacer.large_frame_wait()
+    }
+
     fn reset(&self, to: NodeAddress) {
         let queue = self.table.borrow_mut().links.remove(&to);
         if let Some(queue) = queue {
--- a/crates/sequoiagw-node/tests/links.rs
+++ b/crates/sequoiagw-node/tests/links.rs
@@ -1,6 +1,7 @@
 //! Tests of links between two nodes: large frames, small frames beside them, and links that both
 //! nodes open at once.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -42,6 +43,7 @@
         load: None,
         run_ms: 1,
         wait_ms: 0,
+        remaining_ms: 60_000,
         outcome: Some(CallOutcome::Served(served)),
     };
     PeerFrame::new(NodeId::from_name("owner"), 1, FrameBody::Answer(answer))
@@ -55,10 +57,14 @@
     PeerFrame::new(NodeId::from_name("owner"), 1, FrameBody::Query(query))
 }
 
+fn send_queue() -> SendQueue {
+    SendQueue::new(true, Rc::new(SendPacer::new(0)))
+}
+
 /// Removes all frames and parts from a queue, in the order in which a link writes them.
 fn remaining_frames(queue: &mut SendQueue) -> Vec<PeerFrame> {
     let mut frames = Vec::new();
-    while let Some(frame) = queue.pop_small().or_else(|| queue.pop_part()) {
+    while let Some(frame) = queue.pop_small().or_else(|| queue.pop_part(Instant::now())) {
         frames.push(frame);
     }
     frames
@@ -178,16 +184,47 @@
 
 #[test]
 fn small_frames_go_between_the_parts_of_a_large_one() {
-    let mut queue = SendQueue::new(true);
-    queue.push(answer_frame(1, LARGE_BYTES));
+    let mut queue = send_queue();
+    queue.push(answer_frame(1, LARGE_BYTES), Instant::now());
     assert!(matches!(
-        queue.pop_part().and_then(|frame| frame.body),
+        queue.pop_part(Instant::now()).and_then(|frame| frame.body),
         Some(FrameBody::Part(_))
     ));
-    queue.push(query_frame(2));
+    queue.push(query_frame(2), Instant::now());
     assert_eq!(queue.pop_small(), Some(query_frame(2)));
 }
 
+#[test]
+fn answer_whose_caller_has_left_is_not_sent_before_others() {
+    let pacer = Rc::new(SendPacer::new(12));
+    let mut queue = SendQueue::new(true, Rc::clone(&pacer));
+    let now = Instant::now();
+    queue.push(answer_frame(1, LARGE_BYTES), now);
+    queue.pop_part(now);
+    let later = now + Duration::from_secs(61);
+    queue.push(answer_frame(2, LARGE_BYTES), later);
+    let mut joiner = PartJoiner::default();
+    let mut received = Vec::new();
+    while let Some(part) = queue.pop_part(later) {
+        received.extend(joiner.join(part).expect("the parts are in order"));
+    }
+    assert_eq!(received, vec![answer_frame(2, LARGE_BYTES)]);
+    assert_eq!(pacer.large_frame_wait(), Duration::ZERO);
+}
+
+#[test]
+fn waiting_bytes_of_a_lost_link_are_not_waited_for() {
+    let pacer = Rc::new(SendPacer::new(12));
+    let mut queue = SendQueue::new(true, Rc::clone(&pacer));
+    let now = Instant::now();
+    queue.push(answer_frame(1, LARGE_BYTES), now);
+    queue.push(answer_frame(2, LARGE_BYTES), now);
+    queue.pop_part(now);
+    assert!(pacer.large_frame_wait() > Duration::from_secs(1));
+    drop(queue);
+    assert_eq!(pacer.large_frame_wait(), Duration::ZERO);
+}
+
 #[test]
 fn parts_are_spread_over_the_bandwidth_of_the_host() {
     let pacer = SendPacer::new(12);
@@ -203,10 +240,10 @@
 
 #[test]
 fn query_about_an_answer_being_sent_is_answered_pending() {
-    let mut queue = SendQueue::new(true);
-    queue.push(answer_frame(1, LARGE_BYTES));
-    let first_part = queue.pop_part();
-    queue.push(answer_frame(1, LARGE_BYTES));
+    let mut queue = send_queue();
+    queue.push(answer_frame(1, LARGE_BYTES), Instant::now());
+    let first_part = queue.pop_part(Instant::now());
+    queue.push(answer_frame(1, LARGE_BYTES), Instant::now());
     let Some(FrameBody::Answer(answer)) = queue.pop_small().and_then(|frame| frame.body) else {
         panic!("the second answer should be replaced by a small frame");
     };
@@ -224,13 +261,13 @@
     bolero::check!()
         .with_type::<Vec<u16>>()
         .for_each(|lengths| {
-            let mut queue = SendQueue::new(true);
+            let mut queue = send_queue();
             let sent: Vec<PeerFrame> = (0..)
                 .zip(lengths)
                 .map(|(call, length)| answer_frame(call, usize::from(*length)))
                 .collect();
             for frame in &sent {
-                queue.push(frame.clone());
+                queue.push(frame.clone(), Instant::now());
             }
             let mut joiner = PartJoiner::default();
             let mut received = Vec::new();
@@ -249,9 +286,9 @@
 #[test]
 fn parts_without_end_close_the_link_and_not_the_process() {
     let mut joiner = PartJoiner::default();
-    let mut queue = SendQueue::new(true);
-    queue.push(answer_frame(1, LARGE_BYTES));
-    let Some(mut part) = queue.pop_part() else {
+    let mut queue = send_queue();
+    queue.push(answer_frame(1, LARGE_BYTES), Instant::now());
+    let Some(mut part) = queue.pop_part(Instant::now()) else {
         panic!("a frame was added");
     };
     if let Some(FrameBody::Part(part)) = &mut part.body {
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -232,6 +232,10 @@
         }
         let failed = (500..600).contains(&served.status);
         self.balancer.on_answer(from, failed, now);
+        if let Some(entry_call) = self.calls.get(&call) {
+            self.balancer
+                .record_answer_size(&entry_call.spec.route, served.body.len());
+        }
         if failed && self.retry_server_error(call, &served, now) {
             return;
         }
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -3,6 +3,7 @@
 //! The state machines of entry and owner do no I/O: they take events and the current time and
 //! return actions. Nothing here starts a thread or holds global state.
 
+mod answer_sizes;
 mod call_id;
 mod decision_record;
 mod entry_action;
@@ -29,6 +30,7 @@
 mod target_balancer;
 mod target_view;
 
+pub use answer_sizes::AnswerSizes;
 pub use call_id::CallId;
 pub use call_id::RunId;
 pub use decision_record::PlacementRecord;
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -19,6 +19,7 @@
 use crate::owner_call::scoped_key;
 use crate::owner_call::OwnerCall;
 use crate::owner_call::OwnerState;
+use crate::AnswerSizes;
 use crate::CallId;
 use crate::KeyState;
 use crate::KeyTable;
@@ -51,6 +52,9 @@
     pub(crate) queue: RankQueue,
     pub(crate) occupancy: OccupancyTimes,
     pub(crate) start_rates: StartRates,
+    pub(crate) answer_sizes: AnswerSizes,
+    /// Time until the large answers that wait at this host have been sent.
+    pub(crate) link_wait: Duration,
     pub(crate) calls: HashMap<CallId, OwnerCall>,
     pub(crate) runs: HashMap<RunId, CallId>,
     pub(crate) run_deadlines: BTreeSet<(Instant, RunId)>,
@@ -84,6 +88,8 @@
             queue,
             occupancy: OccupancyTimes::default(),
             start_rates: StartRates::default(),
+            answer_sizes: AnswerSizes::default(),
+            link_wait: Duration::ZERO,
             calls: HashMap::new(),
             runs: HashMap::new(),
             run_deadlines: BTreeSet::new(),
@@ -136,9 +142,15 @@
             },
             occupancy_ms: self.occupancy.mean().as_millis() as u32,
             waits: LoadReport::pack_waits(self.expected_waits(now)),
+            link_wait_ms: self.link_wait.as_millis() as u32,
         }
     }
 
+    /// Sets the time until the large answers that wait at this host have been sent.
+    pub fn set_link_wait(&mut self, link_wait: Duration) {
+        self.link_wait = link_wait;
+    }
+
     /// Number of calls that are queued, running or waiting for a claim.
     pub fn open_calls(&self) -> usize {
         self.queue.len() + self.runs.len() + self.claim_retry_times.len()
@@ -391,6 +403,9 @@
                 .calls
                 .get(&id)
                 .map_or(0, |call| ms_rounded_up(call.slot_wait)),
+            remaining_ms: self.calls.get(&id).map_or(0, |call| {
+                call.deadline.saturating_duration_since(now).as_millis() as u32
+            }),
             outcome: Some(outcome),
         };
         self.actions.push(OwnerAction::Answer(id.entry, answer));
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -59,12 +59,18 @@
             due: due_time_of(call, now),
             deadline: latest_start,
         };
-        if self.queue.is_empty() && self.may_run(queued.level) {
-            self.run(id, now);
+        let has_free_slot = self.queue.is_empty() && self.may_run(queued.level);
+        let slot_wait = if has_free_slot {
+            Duration::ZERO
+        } else {
+            self.expected_wait(queued.level, now)
+        };
+        if !self.is_wait_acceptable(id, queued.level, slot_wait, now) {
+            self.refuse(id, ErrorKind::QueueFull, now);
             return;
         }
-        if !self.is_wait_acceptable(id, queued.level, now) {
-            self.refuse(id, ErrorKind::QueueFull, now);
+        if has_free_slot {
+            self.run(id, now);
             return;
         }
         match self.queue.push(queued) {
@@ -74,13 +80,23 @@
         }
     }
 
-    /// Whether the expected wait for a slot is within the limit that the entry sent with the call.
-    fn is_wait_acceptable(&self, id: CallId, level: RankLevel, now: Instant) -> bool {
+    /// Whether the expected wait for a slot and for the host's link is within the limit that the
+    /// entry sent with the call. A call that waits for neither is always accepted.
+    fn is_wait_acceptable(
+        &self,
+        id: CallId,
+        level: RankLevel,
+        slot_wait: Duration,
+        now: Instant,
+    ) -> bool {
         let Some(call) = self.calls.get(&id) else {
             return false;
         };
         let dispatch = &call.dispatch;
-        let wait = self.expected_wait(level, now);
+        let wait = slot_wait + self.link_wait_of(&dispatch.route);
+        if wait.is_zero() {
+            return true;
+        }
         let expected_latency = wait + self.occupancy.route_mean(&dispatch.route);
         let latency_target = Duration::from_millis(u64::from(dispatch.latency_target_ms));
         let remaining = call.deadline.saturating_duration_since(now);
@@ -103,6 +119,16 @@
         }
     }
 
+    /// Estimated wait for the host's link after a run of this route. Serves loads of large answers,
+    /// which leave slots free while the link is occupied.
+    fn link_wait_of(&self, route: &str) -> Duration {
+        if self.answer_sizes.is_large(route) {
+            self.link_wait
+        } else {
+            Duration::ZERO
+        }
+    }
+
     /// Estimated wait for a slot at this level, behind the queued calls of this and the more
     /// urgent levels and the more urgent calls that are expected to arrive meanwhile.
     pub(crate) fn expected_wait(&self, level: RankLevel, now: Instant) -> Duration {
@@ -221,6 +247,9 @@
             BackendResult::Shed => self.limiter.release_shed(now),
             _ => self.limiter.release(),
         }
+        if let (Some(call), BackendResult::Answered { body, .. }) = (self.calls.get(&id), &result) {
+            self.answer_sizes.record(&call.dispatch.route, body.len());
+        }
         let key = self.calls.get(&id).and_then(OwnerCall::scoped_key);
         let outcome = result.into_outcome();
         if let Some(key) = key {
--- a/crates/sequoiagw-policy/src/target_balancer.rs
+++ b/crates/sequoiagw-policy/src/target_balancer.rs
@@ -14,6 +14,7 @@
 
 use crate::target_view::TargetView;
 use crate::target_view::DEFAULT_OCCUPANCY;
+use crate::AnswerSizes;
 use crate::PlacementRecord;
 use crate::PlacementRule;
 use crate::RunTimes;
@@ -76,6 +77,7 @@
     services: BTreeMap<String, Vec<TargetInfo>>,
     views: HashMap<NodeId, TargetView>,
     run_times: RunTimes,
+    answer_sizes: AnswerSizes,
 }
 
 impl TargetBalancer {
@@ -86,6 +88,7 @@
             services: BTreeMap::new(),
             views: HashMap::new(),
             run_times: RunTimes::default(),
+            answer_sizes: AnswerSizes::default(),
         }
     }
 
@@ -195,7 +198,8 @@
         Ok(chosen.clone())
     }
 
-    /// Expected time to an answer: wait for a slot, run time and failure penalty.
+    /// Expected time to an answer: wait for a slot, run time, failure penalty and, for a large
+    /// answer, wait for the link of the target's host.
     fn expected_latency(
         &self,
         info: &TargetInfo,
@@ -209,8 +213,14 @@
         let Some(view) = self.views.get(&info.node) else {
             return run_time;
         };
+        let link_wait = if self.answer_sizes.is_large(request.route) {
+            view.link_wait(now)
+        } else {
+            Duration::ZERO
+        };
         view.expected_slot_wait(info.slots, request.level, now)
             + run_time
+            + link_wait
             + view.failure_penalty(now)
     }
 
@@ -277,6 +287,11 @@
         self.run_times.record(node, route, time, now);
     }
 
+    /// Records the size of a route's answer in bytes.
+    pub fn record_answer_size(&mut self, route: &str, bytes: usize) {
+        self.answer_sizes.record(route, bytes);
+    }
+
     /// Records an answer of a target; `failed` says whether it was a failure. Ends the series of
     /// consecutive failures and ejections either way.
     pub fn on_answer(&mut self, node: NodeId, failed: bool, now: Instant) {
--- a/crates/sequoiagw-policy/tests/overload.rs
+++ b/crates/sequoiagw-policy/tests/overload.rs
@@ -237,6 +237,50 @@
     );
 }
 
+/// An owner that has sent a large answer on the route of downloads.
+fn owner_with_download() -> OwnerMachine {
+    let settings = OwnerSettings {
+        service: "press".to_owned(),
+        slots: SLOTS,
+        queue_limit: 240,
+        slot_rule: SlotRule::Fixed,
+        ..OwnerSettings::default()
+    };
+    let mut owner = OwnerMachine::new(NodeId::from(9), BOOT, settings);
+    let now = Instant::now();
+    owner.on_dispatch(NodeId::from(1), 1, dispatch_of(&LONG_CALL_OVERLOAD, 1), now);
+    let runs = owner.take_actions();
+    let Some(OwnerAction::Run(request)) = runs.into_iter().next() else {
+        panic!("the call should start at once");
+    };
+    let answered = BackendResult::Answered {
+        status: 200,
+        headers: Vec::new(),
+        body: Bytes::from(vec![0; 90_000]),
+    };
+    owner.on_result(request.run, answered, now);
+    owner.take_actions();
+    owner
+}
+
+#[test]
+fn refuses_a_large_answer_that_the_link_would_make_late() {
+    let now = Instant::now();
+    let mut owner = owner_with_download();
+    owner.set_link_wait(Duration::from_millis(1500));
+    owner.on_dispatch(NodeId::from(1), 1, dispatch_of(&LONG_CALL_OVERLOAD, 2), now);
+    owner.on_dispatch(NodeId::from(1), 1, dispatch_of(&SHORT_CALLS, 3), now);
+    let started: Vec<u64> = owner
+        .take_actions()
+        .into_iter()
+        .filter_map(|action| match action {
+            OwnerAction::Run(request) => Some(request.dispatch.call),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(started, [3], "only the call with a small answer starts");
+}
+
 #[test]
 fn refuses_no_call_below_capacity() {
     let below_capacity = OfferedLoad {
--- a/crates/sequoiagw-policy/tests/target_balancer.rs
+++ b/crates/sequoiagw-policy/tests/target_balancer.rs
@@ -47,6 +47,7 @@
 
 fn report(running: u32, waiting: u32, open_levels: u32) -> LoadReport {
     LoadReport {
+        link_wait_ms: 0,
         running,
         slots: 10,
         waiting,
@@ -218,6 +219,25 @@
     );
 }
 
+#[test]
+fn large_answers_go_to_the_target_whose_link_is_free() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut balancer = local_and_remote();
+    let busy_link = LoadReport {
+        link_wait_ms: 700,
+        ..waiting_report(0, 0)
+    };
+    balancer.on_load_report(NodeId::from(1), busy_link, now);
+    balancer.on_load_report(NodeId::from(2), waiting_report(0, 0), now);
+    let request = fastest_request(200, 800);
+    let small = balancer.pick(&request, &mut rng, now);
+    assert_eq!(small.map(|info| info.node), Ok(NodeId::from(1)));
+    balancer.record_answer_size(request.route, 90_000);
+    let large = balancer.pick(&request, &mut rng, now);
+    assert_eq!(large.map(|info| info.node), Ok(NodeId::from(2)));
+}
+
 #[test]
 fn picks_a_target_with_free_slots_for_a_short_call_beside_long_calls() {
     let now = Instant::now();
--- a/crates/sequoiagw-protocol/src/call_message.rs
+++ b/crates/sequoiagw-protocol/src/call_message.rs
@@ -180,6 +180,9 @@
     /// Time for which the call waited for its key's claim and for a slot, in milliseconds.
     #[prost(uint32, tag = "5")]
     pub wait_ms: u32,
+    /// Time left until the call's deadline when the answer was sent, in milliseconds.
+    #[prost(uint32, tag = "6")]
+    pub remaining_ms: u32,
     /// State of the call.
     #[prost(oneof = "CallOutcome", tags = "10, 11, 12, 13")]
     pub outcome: Option<CallOutcome>,
@@ -207,6 +210,9 @@
     /// Expected wait for a slot at each level, one byte per level; see [`LoadReport::wait`].
     #[prost(fixed64, tag = "6")]
     pub waits: u64,
+    /// Time until the large frames that wait at the host have been sent, in milliseconds.
+    #[prost(uint32, tag = "7")]
+    pub link_wait_ms: u32,
 }
 
 /// Unit of the expected waits in a load report. The longest wait that fits into a byte is 255
@@ -214,6 +220,11 @@
 const WAIT_UNIT_MS: u64 = 8;
 
 impl LoadReport {
+    /// Time until the large frames that wait at the host have been sent.
+    pub fn link_wait(&self) -> Duration {
+        Duration::from_millis(u64::from(self.link_wait_ms))
+    }
+
     /// Encodes the expected waits of all levels as one number, with one byte per level.
     ///
     /// Waits are rounded up to whole units; longer ones than a byte can hold are capped.
--- a/crates/sequoiagw-protocol/src/frame_part.rs
+++ b/crates/sequoiagw-protocol/src/frame_part.rs
@@ -3,6 +3,9 @@
 use bytes::Bytes;
 use prost::Message;
 
+/// Largest frame that is sent whole, and largest part of a larger one, in bytes.
+pub const LARGE_FRAME_BYTES: usize = 16 * 1024;
+
 /// Part of the encoding of a large frame. The parts of a frame follow each other in order, with
 /// other frames but no parts of another frame in between.
 #[derive(Clone, Message, PartialEq)]
