Ask a watcher for the first configuration before reading the store

The process now waits until it has read the registrations. The new test fails before (one read).

Ruled out: reads that may be stale (a tenth of the price) for registrations or the configuration of a process that starts again: its own entry tells which backend process had left, and an older view could put that one, or an older version, in use again.

--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -1,5 +1,6 @@
 //! Follows the operators' configuration and the node registrations in the platform's store.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -39,6 +40,8 @@
 const STARTUP_CHECKS: usize = 8;
 /// Time between two checks for a version from the watchers during the start.
 const STARTUP_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+/// How often a starting process checks for the registrations before it goes on without them.
+const REGISTRATION_CHECKS: usize = 15;
 /// Startup checks after which the version is requested from the next watcher.
 const CHECKS_PER_WATCHER: usize = 4;
 /// Time within which all nodes of a fleet that starts for the first time register.
@@ -59,6 +62,8 @@
     handle: MeshHandle,
     store: Rc<dyn PollingStore>,
     health: StoreHealth,
+    /// Whether the registrations have been read since the process started.
+    registrations_read: Rc<Cell<bool>>,
 }
 
 impl StoreFollower {
@@ -68,6 +73,7 @@
             handle,
             store,
             health,
+            registrations_read: Rc::default(),
         }
     }
 
@@ -78,6 +84,7 @@
     /// changes follow each other quickly, this transfers fewer copies than there are versions.
     pub async fn follow_config(self) {
         self.wait_for_fleet().await;
+        self.wait_for_registrations().await;
         self.request_from_watchers().await;
         if self.version_number().is_some() {
             self.wait_while_watchers_report(MeshCore::take_pending_version_read)
@@ -115,6 +122,17 @@
         }
     }
 
+    /// Waits a limited time until the registrations have been read. Before that this node knows
+    /// only itself, and would take itself for a watcher and read the configuration.
+    async fn wait_for_registrations(&self) {
+        for _ in 0..REGISTRATION_CHECKS {
+            if self.registrations_read.get() {
+                return;
+            }
+            sleep(STARTUP_CHECK_INTERVAL).await;
+        }
+    }
+
     /// Requests the active version from the watchers of the data centre and waits a short time
     /// for it. The watchers are nearer than the store, and processes that start at the same time
     /// don't all read the store.
@@ -248,6 +266,7 @@
                     .collect();
                 self.handle
                     .with_core(|core, now| core.on_registrations(registrations, now));
+                self.registrations_read.set(true);
                 info!(event = "store_read", revision, nodes = nodes.len());
                 Some(revision)
             }
--- a/crates/sequoiagw-mesh/tests/store_follower.rs
+++ b/crates/sequoiagw-mesh/tests/store_follower.rs
@@ -57,6 +57,10 @@
 struct CountingStore {
     version: Rc<Cell<u64>>,
     down: Rc<Cell<bool>>,
+    /// Number of reads of the configuration.
+    config_reads: Rc<Cell<u32>>,
+    /// Time that a read takes.
+    read_time: Rc<Cell<Duration>>,
     /// Number of calls by kind.
     calls: Rc<RefCell<BTreeMap<&'static str, u32>>>,
 }
@@ -95,8 +99,12 @@
         let store = self.clone();
         Box::pin(async move {
             store.check_available()?;
+            sleep(store.read_time.get()).await;
             let entries = match request {
-                StoreRequest::Read { key } => vec![key_entry(key, store.version.get().to_string())],
+                StoreRequest::Read { key } => {
+                    store.config_reads.set(store.config_reads.get() + 1);
+                    vec![key_entry(key, store.version.get().to_string())]
+                }
                 _ => NODES
                     .iter()
                     .map(|name| {
@@ -240,6 +248,24 @@
     LocalSet::new().run_until(check).await;
 }
 
+#[tokio::test(start_paused = true)]
+async fn starting_node_reads_no_configuration_that_a_watcher_sends() {
+    let check = async {
+        let store = CountingStore::default();
+        store.version.set(3);
+        store.read_time.set(Duration::from_millis(400));
+        let handle = follow("c", &store);
+        // The node's own registration is the only one that it knows before it has read the others.
+        let own = RegistrationChange::Written(registration("c", BOOT), 5);
+        handle.with_core(|core, now| core.on_registration_changes(&[own], now));
+        sleep(Duration::from_millis(700)).await;
+        handle.apply_config(&Bytes::from("3"));
+        receive_digests_for(&handle, 3, Duration::from_secs(5)).await;
+        assert_eq!(store.config_reads.get(), 0);
+    };
+    LocalSet::new().run_until(check).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn node_with_unresponsive_watchers_follows_store_itself() {
     let check = async {
--- a/crates/sequoiagw-policy/tests/overload.rs
+++ b/crates/sequoiagw-policy/tests/overload.rs
@@ -47,8 +47,25 @@
     offered_at: Instant,
 }
 
+/// Factor on the run times of the calls that start from a time on.
+#[derive(Clone, Copy)]
+struct Slowdown {
+    from_ms: u64,
+    factor: u64,
+}
+
+const NO_SLOWDOWN: Slowdown = Slowdown {
+    from_ms: u64::MAX,
+    factor: 1,
+};
+
 /// Offers the loads to one target for some seconds. Calls of the first second aren't counted.
 fn simulate(loads: &[OfferedLoad], seconds: u64) -> Vec<LoadResult> {
+    simulate_slowdown(loads, seconds, NO_SLOWDOWN)
+}
+
+/// Like [`simulate`], with a target that turns slow.
+fn simulate_slowdown(loads: &[OfferedLoad], seconds: u64, slowdown: Slowdown) -> Vec<LoadResult> {
     let settings = OwnerSettings {
         service: "press".to_owned(),
         slots: SLOTS,
@@ -98,7 +115,13 @@
                     let route = request.dispatch.route.as_str();
                     let load = loads.iter().find(|load| load.route == route);
                     let run_ms = load.expect("load of this route").run_ms;
-                    runs.insert(request.run, now + Duration::from_millis(run_ms));
+                    let factor = if elapsed_ms < slowdown.from_ms {
+                        1
+                    } else {
+                        slowdown.factor
+                    };
+                    let run_time = Duration::from_millis(run_ms * factor);
+                    runs.insert(request.run, now + run_time);
                 }
                 OwnerAction::Abort(run) => {
                     runs.remove(&run);
@@ -237,6 +260,33 @@
     );
 }
 
+#[test]
+fn a_target_that_turns_slow_refuses_early_what_it_will_not_serve() {
+    let load = OfferedLoad {
+        interval_ms: 12,
+        run_ms: 100,
+        latency_target_ms: 800,
+        deadline_ms: 3000,
+        ..LONG_CALL_OVERLOAD
+    };
+    let slowdown = Slowdown {
+        from_ms: 3000,
+        factor: 5,
+    };
+    let before = simulate(&[load], 3)[0];
+    assert_eq!(before.refused, 0, "{before:?}");
+    let result = simulate_slowdown(&[load], 7, slowdown)[0];
+    let late_refusals = result.refused - result.refused_early;
+    assert!(
+        share(late_refusals, result.refused) < 0.02,
+        "excess calls must be refused early: {result:?}"
+    );
+    assert!(
+        share(result.served_in_time, result.served) > 0.85,
+        "most served calls must meet their latency target: {result:?}"
+    );
+}
+
 /// An owner that has sent a large answer on the route of downloads.
 fn owner_with_download() -> OwnerMachine {
     let settings = OwnerSettings {
