Say in the logs what an abandoned call was waiting for

Cause: call_abandoned carried nothing but the request, so a lost download couldn't be told from the logs. Both kinds of node now log target, phase, tries, age and the age of the last message from the target, and 'explain' says it in words. Tests of the record and of the explanation.

--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -22,7 +22,6 @@
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
-use sequoiagw_telemetry::REQUEST_LOG_TARGET;
 use tokio::time::Instant;
 use tracing::info;
 
@@ -224,10 +223,7 @@
     pub fn cancel_call(&mut self, call: u64, now: Instant) {
         self.counters
             .count_refusal(ErrorKind::CallerGone.rule().name);
-        if let Some(request) = self.entry.request_id(call) {
-            info!(target: REQUEST_LOG_TARGET, event = "call_abandoned", request);
-        }
-        self.entry.on_caller_gone(call);
+        self.entry.on_caller_gone(call, now);
         self.process_actions(now);
     }
 
--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -204,7 +204,7 @@
     pub fn cancel_call(&mut self, call: u64, now: Instant) {
         self.counters
             .count_refusal(ErrorKind::CallerGone.rule().name);
-        self.entry.on_caller_gone(call);
+        self.entry.on_caller_gone(call, now);
         self.process_actions(now);
     }
 
--- a/crates/sequoiagw-node/src/request_log.rs
+++ b/crates/sequoiagw-node/src/request_log.rs
@@ -1,5 +1,6 @@
 //! Counters and log lines about single requests, shared by both kinds of node.
 
+use sequoiagw_policy::AbandonRecord;
 use sequoiagw_policy::EntryEvent;
 use sequoiagw_policy::PlacementRecord;
 use sequoiagw_policy::RefusalRecord;
@@ -25,6 +26,7 @@
 {
     match event {
         EntryEvent::Retried(retry) => log_retry(retry, counters, name_of),
+        EntryEvent::Abandoned(abandoned) => log_abandoned(abandoned, name_of),
         EntryEvent::RetryBudgetExhausted => counters.count("retry.budget_spent"),
         EntryEvent::LateAnswer => counters.count("answer.late"),
         EntryEvent::TargetEjected => counters.count("target.ejected"),
@@ -48,6 +50,23 @@
     );
 }
 
+/// Logs a call whose caller has left; `name_of` returns the name of its target's node.
+fn log_abandoned<Name>(abandoned: &AbandonRecord, name_of: Name)
+where
+    Name: Fn(NodeId) -> Option<String>,
+{
+    let placement = PlacementLogFields::new(abandoned.placement, name_of);
+    let last_contact_ms = abandoned
+        .last_contact_age
+        .map_or(-1, |age| age.as_millis() as i64);
+    info!(
+        target: REQUEST_LOG_TARGET,
+        event = "call_abandoned", request = %abandoned.request_id, phase = abandoned.phase,
+        target = %placement.target, tries = abandoned.attempts,
+        total_ms = abandoned.age.as_millis() as u64, last_contact_ms
+    );
+}
+
 /// Counts and logs a call that this node, as its owner, refused.
 pub fn log_refusal(refusal: &RefusalRecord, counters: &NodeCounters) {
     let reason = refusal.kind.rule().name;
--- a/crates/sequoiagw-policy/src/decision_record.rs
+++ b/crates/sequoiagw-policy/src/decision_record.rs
@@ -52,3 +52,20 @@
     /// Number of slots that the owner may use.
     pub slots: u32,
 }
+
+/// A call whose caller left before the reply.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AbandonRecord {
+    /// Request id.
+    pub request_id: String,
+    /// What the entry was waiting for.
+    pub phase: &'static str,
+    /// Target of the last attempt.
+    pub placement: Option<PlacementRecord>,
+    /// Number of attempts made.
+    pub attempts: u32,
+    /// Time since the start of the call.
+    pub age: Duration,
+    /// Time since the last message from the target's node, `None` if there was none.
+    pub last_contact_age: Option<Duration>,
+}
--- a/crates/sequoiagw-policy/src/entry_action.rs
+++ b/crates/sequoiagw-policy/src/entry_action.rs
@@ -3,6 +3,7 @@
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
 
+use crate::AbandonRecord;
 use crate::CallerReply;
 use crate::RetryRecord;
 
@@ -24,6 +25,8 @@
 pub enum EntryEvent {
     /// A call is retried.
     Retried(Box<RetryRecord>),
+    /// A call's caller has left.
+    Abandoned(Box<AbandonRecord>),
     /// The service's retry budget didn't allow a retry.
     RetryBudgetExhausted,
     /// An answer arrived that no call waits for.
--- a/crates/sequoiagw-policy/src/entry_call.rs
+++ b/crates/sequoiagw-policy/src/entry_call.rs
@@ -144,6 +144,17 @@
     NotDispatched,
 }
 
+impl EntryPhase {
+    /// Name of the phase in logs.
+    pub(crate) const fn name(self) -> &'static str {
+        match self {
+            Self::AwaitingAnswer => "awaiting_answer",
+            Self::Querying { .. } => "querying",
+            Self::NotDispatched => "not_dispatched",
+        }
+    }
+}
+
 /// State of a call at its entry.
 #[derive(Clone, Debug)]
 pub(crate) struct EntryCall {
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -18,6 +18,7 @@
 
 use crate::entry_call::EntryCall;
 use crate::entry_call::EntryPhase;
+use crate::AbandonRecord;
 use crate::CallRequest;
 use crate::CallSpec;
 use crate::CallerReply;
@@ -95,12 +96,6 @@
         }
     }
 
-    /// Request id of an open call.
-    pub fn request_id(&self, call: u64) -> Option<&str> {
-        let entry_call = self.calls.get(&call)?;
-        Some(&entry_call.request.request_id)
-    }
-
     /// Number of calls without a reply so far.
     pub fn open_calls(&self) -> usize {
         self.calls.len()
@@ -191,10 +186,13 @@
     }
 
     /// Ends a call whose caller has disconnected and cancels it at its owner.
-    pub fn on_caller_gone(&mut self, call: u64) {
+    pub fn on_caller_gone(&mut self, call: u64, now: Instant) {
         let Some(entry_call) = self.calls.get(&call) else {
             return;
         };
+        let record = Box::new(self.abandon_record(entry_call, now));
+        self.actions
+            .push(EntryAction::Record(EntryEvent::Abandoned(record)));
         if let (Some(target), true) = (
             &entry_call.target,
             entry_call.phase != EntryPhase::NotDispatched,
@@ -264,6 +262,19 @@
         }
     }
 
+    fn abandon_record(&self, entry_call: &EntryCall, now: Instant) -> AbandonRecord {
+        let target = entry_call.target.as_ref();
+        let last_contact = target.and_then(|target| self.last_contact(target.node));
+        AbandonRecord {
+            request_id: entry_call.request.request_id.clone(),
+            phase: entry_call.phase.name(),
+            placement: entry_call.placement,
+            attempts: entry_call.attempts,
+            age: now.saturating_duration_since(entry_call.started_at),
+            last_contact_age: last_contact.map(|time| now.saturating_duration_since(time)),
+        }
+    }
+
     fn remove_call(&mut self, call: u64) -> Option<EntryCall> {
         self.end_dispatch(call);
         let entry_call = self.calls.remove(&call)?;
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub use answer_sizes::AnswerSizes;
 pub use call_id::CallId;
 pub use call_id::RunId;
+pub use decision_record::AbandonRecord;
 pub use decision_record::PlacementRecord;
 pub use decision_record::RefusalRecord;
 pub use decision_record::RetryRecord;
--- a/crates/sequoiagw-policy/tests/unresponsive_nodes.rs
+++ b/crates/sequoiagw-policy/tests/unresponsive_nodes.rs
@@ -8,6 +8,7 @@
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
 use sequoiagw_policy::EntryAction;
+use sequoiagw_policy::EntryEvent;
 use sequoiagw_policy::EntryMachine;
 use sequoiagw_policy::PlacementRule;
 use sequoiagw_policy::TargetInfo;
@@ -226,3 +227,26 @@
     });
     assert_eq!(is_success, Some(true));
 }
+
+#[test]
+fn record_of_an_abandoned_call_names_its_target_and_the_last_contact() {
+    let mut entry = entry();
+    let mut now = Instant::now();
+    let call = entry.begin_call(spec("press"), CallRequest::default(), now);
+    entry.take_actions();
+    advance(&mut entry, &mut now, 400);
+    entry.on_caller_gone(call, now);
+    let record = entry
+        .take_actions()
+        .into_iter()
+        .find_map(|action| match action {
+            EntryAction::Record(EntryEvent::Abandoned(record)) => Some(record),
+            _ => None,
+        });
+    let record = record.expect("the abandoned call should be recorded");
+    assert_eq!(record.phase, "querying");
+    assert_eq!(record.attempts, 1);
+    assert_eq!(record.age, Duration::from_millis(410));
+    assert!(record.placement.is_some());
+    assert_eq!(record.last_contact_age, None);
+}
--- a/crates/sequoiagw-telemetry/src/request_trace.rs
+++ b/crates/sequoiagw-telemetry/src/request_trace.rs
@@ -58,12 +58,12 @@
     /// Explains the outcome of the request in a sentence or two.
     pub fn cause(&self) -> String {
         let names_request = |line: &&LogLine| line.field("request") == self.request;
-        let end = self
-            .lines
-            .iter()
-            .rev()
-            .filter(names_request)
-            .find(|line| matches!(line.event.as_str(), "call_refused" | "call_served"));
+        let end = self.lines.iter().rev().filter(names_request).find(|line| {
+            matches!(
+                line.event.as_str(),
+                "call_refused" | "call_served" | "call_abandoned"
+            )
+        });
         let Some(end) = end else {
             return "No node logged the outcome: the request was served and not sampled, its caller \
                     disconnected, or its node was lost."
@@ -72,6 +72,9 @@
         if end.event == "call_served" {
             return self.explain_answer(end);
         }
+        if end.event == "call_abandoned" {
+            return explain_abandoned(end);
+        }
         let reason = end.field("reason");
         let help = find_kind(reason).map_or("", |kind| kind.rule().help);
         let run_state = match end.field("ran") {
@@ -181,3 +184,24 @@
     }
     writeln!(formatter)
 }
+
+/// Explains a call whose caller left before the reply.
+fn explain_abandoned(end: &LogLine) -> String {
+    let total_ms = end.field("total_ms");
+    let target = end.field("target");
+    match end.field("phase") {
+        "not_dispatched" => {
+            format!("The caller left after {total_ms} ms, while no target had the call.")
+        }
+        "" => "The caller left before the reply.".to_owned(),
+        _ if end.field("last_contact_ms") == "-1" => format!(
+            "The caller left after {total_ms} ms, while {target} had the call; no message from \
+             {target} had arrived."
+        ),
+        _ => format!(
+            "The caller left after {total_ms} ms, while {target} had the call; the last message \
+             from {target} was {} ms old.",
+            end.field("last_contact_ms")
+        ),
+    }
+}
--- a/crates/sequoiagw-telemetry/tests/logs.rs
+++ b/crates/sequoiagw-telemetry/tests/logs.rs
@@ -73,6 +73,19 @@
     assert!(cause.contains("fleet_overloaded"), "{cause}");
 }
 
+#[test]
+fn names_the_target_that_had_an_abandoned_call() {
+    let text = "ts=2026-01-01T00:00:02Z level=info event=call_abandoned request=r1 \
+                phase=querying target=node-b tries=1 total_ms=980 last_contact_ms=310";
+    let trace = RequestTrace::new("r1", vec![parse_line(text, "node-a.log")]);
+    let cause = trace.cause();
+    assert!(cause.contains("caller left after 980 ms"), "{cause}");
+    assert!(
+        cause.contains("node-b") && cause.contains("310 ms"),
+        "{cause}"
+    );
+}
+
 #[test]
 fn trace_of_a_request_without_lines_is_empty() {
     assert!(RequestTrace::new("zz", vec![parse_line(REFUSED, "node-a")]).is_empty());
