Recognise callers that return by their deadline

Nodes now remember the deadlines of the callers they refused; 50 ms after a refusal the same deadline on the same route is a return.

--- a/crates/sequoiagw-mesh/src/caller_server.rs
+++ b/crates/sequoiagw-mesh/src/caller_server.rs
@@ -29,6 +29,8 @@
 
 /// Delay before the next `accept` after one failed.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
+/// Status of a refusal of a request that hasn't run; its caller may return.
+const STATUS_RETRY: u16 = 503;
 /// Largest number of open connections; further ones are closed at once.
 const MAX_CONNECTIONS: usize = 1500;
 
@@ -120,7 +122,9 @@
             .header(header_names.deadline)
             .and_then(|value| value.trim().parse().ok())
             .map(Duration::from_millis);
+        let arrival = Instant::now();
         let spec = self.call_spec(&route, caller_timeout);
+        let first_arrival = arrival.checked_sub(spec.waited).unwrap_or(arrival);
         let call = self.call_request(request, &request_id);
         let log = CallLog {
             request_id: &request_id,
@@ -128,7 +132,7 @@
             service: spec.service.clone(),
             timeout: spec.timeout,
             version: version.number,
-            started: Instant::now(),
+            started: arrival,
         };
         let reply = self.handle.call(spec, call).await;
         log.finish(&reply, &self.handle);
@@ -138,7 +142,16 @@
                 headers: answer.headers,
                 body: answer.body,
             },
-            Err(kind) => refusal_reply(kind, Some(&route)),
+            Err(kind) => {
+                let refusal = refusal_reply(kind, Some(&route));
+                if let Some(timeout) = caller_timeout.filter(|_| refusal.status == STATUS_RETRY) {
+                    self.handle.with_core(|core, now| {
+                        let deadline = arrival + timeout;
+                        core.record_refused_caller(&route, deadline, first_arrival, now);
+                    });
+                }
+                refusal
+            }
         }
     }
 
@@ -149,7 +162,7 @@
         });
         let waited = caller_timeout.map_or(Duration::ZERO, |timeout| {
             self.handle
-                .with_core(|core, _| core.record_deadline(route, timeout))
+                .with_core(|core, now| core.take_waited(route, now + timeout, now))
         });
         let timeout = caller_timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         CallSpec {
@@ -211,11 +224,11 @@
     let rule = kind.rule();
     let status = match (rule.ran, rule.status) {
         (_, 400..=499) => rule.status,
-        (RunState::No, _) => 503,
+        (RunState::No, _) => STATUS_RETRY,
         (_, status) => status,
     };
     let mut reply = HttpReply::empty(status);
-    if status == 503 {
+    if status == STATUS_RETRY {
         let delay = retry_after_delay(kind, route.map(|route| route.level));
         reply.push_header("Retry-After", &format!("{:.3}", delay.as_secs_f64()));
     }
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -16,9 +16,9 @@
 use sequoiagw_policy::EntryMachine;
 use sequoiagw_policy::OwnerMachine;
 use sequoiagw_policy::OwnerSettings;
+use sequoiagw_policy::RefusedCallers;
 use sequoiagw_policy::RunId;
 use sequoiagw_policy::SlotRule;
-use sequoiagw_policy::UsualDeadlines;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
@@ -68,7 +68,7 @@
     /// Versions that were active before the current one, oldest first.
     pub(crate) previous_versions: VecDeque<Rc<MeshVersion>>,
     pub(crate) traffic_splitter: TrafficSplitter,
-    pub(crate) usual_deadlines: UsualDeadlines,
+    pub(crate) refused_callers: RefusedCallers,
     pub(crate) watchers: WatcherMonitor,
     /// Boot of each node as of the last change of the directory.
     pub(crate) known_boots: HashMap<NodeId, u64>,
@@ -104,7 +104,7 @@
             active_version: None,
             previous_versions: VecDeque::new(),
             traffic_splitter: TrafficSplitter::default(),
-            usual_deadlines: UsualDeadlines::default(),
+            refused_callers: RefusedCallers::default(),
             watchers: WatcherMonitor::with_startup_grace(Instant::now()),
             known_boots: HashMap::new(),
             rng,
@@ -205,10 +205,21 @@
             .to_owned()
     }
 
-    /// Records the deadline that a caller states and returns the time for which it has waited since
-    /// its first attempt.
-    pub fn record_deadline(&mut self, route: &MeshRoute, deadline: Duration) -> Duration {
-        self.usual_deadlines.record(&route.name, deadline)
+    /// Time for which a caller has waited since its first attempt, zero for a first attempt.
+    pub fn take_waited(&mut self, route: &MeshRoute, deadline: Instant, now: Instant) -> Duration {
+        self.refused_callers.take_waited(&route.name, deadline, now)
+    }
+
+    /// Records the refusal of a caller that may return, with the arrival of its first attempt.
+    pub fn record_refused_caller(
+        &mut self,
+        route: &MeshRoute,
+        deadline: Instant,
+        first_arrival: Instant,
+        now: Instant,
+    ) {
+        self.refused_callers
+            .record(&route.name, deadline, first_arrival, now);
     }
 
     /// Starts a caller's call and returns its number, which the later [`MeshAction::Reply`]
