Add a caller's time left to the clock without overflow

A stated time left that no clock can hold would have ended the process when its caller was refused. Found by reading; the new test records and looks up an endless deadline.

--- a/crates/sequoiagw-mesh/src/caller_server.rs
+++ b/crates/sequoiagw-mesh/src/caller_server.rs
@@ -11,6 +11,7 @@
 use sequoiagw_http::ServerPhase;
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
+use sequoiagw_policy::CallerAttempt;
 use sequoiagw_policy::PlacementRule;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::HeaderField;
@@ -144,11 +145,14 @@
             },
             Err(kind) => {
                 let refusal = refusal_reply(kind, Some(&route));
-                if let Some(timeout) = caller_timeout.filter(|_| refusal.status == STATUS_RETRY) {
-                    self.handle.with_core(|core, now| {
-                        let deadline = arrival + timeout;
-                        core.record_refused_caller(&route, deadline, first_arrival, now);
-                    });
+                if let Some(time_left) = caller_timeout.filter(|_| refusal.status == STATUS_RETRY) {
+                    let attempt = CallerAttempt {
+                        arrival,
+                        time_left,
+                        first_arrival,
+                    };
+                    self.handle
+                        .with_core(|core, now| core.record_refused_caller(&route, attempt, now));
                 }
                 refusal
             }
@@ -162,7 +166,7 @@
         });
         let waited = caller_timeout.map_or(Duration::ZERO, |timeout| {
             self.handle
-                .with_core(|core, now| core.take_waited(route, now + timeout, now))
+                .with_core(|core, now| core.take_waited(route, timeout, now))
         });
         let timeout = caller_timeout.map_or(route.timeout, |timeout| timeout.min(route.timeout));
         CallSpec {
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -13,6 +13,7 @@
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
+use sequoiagw_policy::CallerAttempt;
 use sequoiagw_policy::EntryMachine;
 use sequoiagw_policy::OwnerMachine;
 use sequoiagw_policy::OwnerSettings;
@@ -205,21 +206,26 @@
             .to_owned()
     }
 
-    /// Time for which a caller has waited since its first attempt, zero for a first attempt.
-    pub fn take_waited(&mut self, route: &MeshRoute, deadline: Instant, now: Instant) -> Duration {
-        self.refused_callers.take_waited(&route.name, deadline, now)
+    /// Time for which a caller with this time left has waited since its first attempt, zero for a
+    /// first attempt.
+    pub fn take_waited(
+        &mut self,
+        route: &MeshRoute,
+        time_left: Duration,
+        now: Instant,
+    ) -> Duration {
+        self.refused_callers
+            .take_waited(&route.name, time_left, now)
     }
 
-    /// Records the refusal of a caller that may return, with the arrival of its first attempt.
+    /// Records the refusal of a caller that may return.
     pub fn record_refused_caller(
         &mut self,
         route: &MeshRoute,
-        deadline: Instant,
-        first_arrival: Instant,
+        attempt: CallerAttempt,
         now: Instant,
     ) {
-        self.refused_callers
-            .record(&route.name, deadline, first_arrival, now);
+        self.refused_callers.record(&route.name, attempt, now);
     }
 
     /// Starts a caller's call and returns its number, which the later [`MeshAction::Reply`]
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -61,6 +61,7 @@
 pub use rank_queue::PushOutcome;
 pub use rank_queue::QueuedCall;
 pub use rank_queue::RankQueue;
+pub use refused_callers::CallerAttempt;
 pub use refused_callers::RefusedCallers;
 pub use retry_budget::RetryBudget;
 pub use run_times::RunTimes;
--- a/crates/sequoiagw-policy/src/refused_callers.rs
+++ b/crates/sequoiagw-policy/src/refused_callers.rs
@@ -13,6 +13,17 @@
 /// Refused callers that are remembered for each route.
 const MAX_REFUSED_CALLERS: usize = 1024;
 
+/// An attempt of a caller, with the time left until its deadline.
+#[derive(Clone, Copy, Debug)]
+pub struct CallerAttempt {
+    /// Arrival of this attempt.
+    pub arrival: Instant,
+    /// Time left at the arrival, as the caller states it.
+    pub time_left: Duration,
+    /// Arrival of the caller's first attempt.
+    pub first_arrival: Instant,
+}
+
 /// A caller that was refused.
 #[derive(Clone, Copy, Debug)]
 struct RefusedCaller {
@@ -33,8 +44,12 @@
 }
 
 impl RefusedCallers {
-    /// Records the refusal of a caller whose first attempt arrived at `first_arrival`.
-    pub fn record(&mut self, route: &str, deadline: Instant, first_arrival: Instant, now: Instant) {
+    /// Records the refusal of a caller.
+    pub fn record(&mut self, route: &str, attempt: CallerAttempt, now: Instant) {
+        let Some(deadline) = attempt.arrival.checked_add(attempt.time_left) else {
+            // No caller waits that long, so its deadline tells nothing.
+            return;
+        };
         self.recorded += 1;
         let callers = self.routes.entry(route.to_owned()).or_default();
         *callers = callers.split_off(&(now, 0));
@@ -42,20 +57,22 @@
             callers.pop_first();
         }
         let caller = RefusedCaller {
-            first_arrival,
+            first_arrival: attempt.first_arrival,
             refused_at: now,
         };
         callers.insert((deadline, self.recorded), caller);
     }
 
-    /// Removes the refused caller with this deadline and returns the time since its first attempt;
-    /// zero if there is none, that is for a first attempt.
-    pub fn take_waited(&mut self, route: &str, deadline: Instant, now: Instant) -> Duration {
-        let Some(callers) = self.routes.get_mut(route) else {
+    /// Removes the refused caller whose deadline is that of an attempt that arrives now, and returns
+    /// the time since its first attempt; zero if there is none, that is for a first attempt.
+    pub fn take_waited(&mut self, route: &str, time_left: Duration, now: Instant) -> Duration {
+        let latest = now
+            .checked_add(time_left)
+            .and_then(|deadline| deadline.checked_add(DEADLINE_TOLERANCE));
+        let (Some(callers), Some(latest)) = (self.routes.get_mut(route), latest) else {
             return Duration::ZERO;
         };
-        let earliest = deadline.checked_sub(DEADLINE_TOLERANCE).unwrap_or(now);
-        let latest = deadline + DEADLINE_TOLERANCE;
+        let earliest = latest.checked_sub(DEADLINE_TOLERANCE * 2).unwrap_or(now);
         let found = callers
             .range((earliest, 0)..(latest, 0))
             .find(|(_, caller)| now >= caller.refused_at + MIN_RETURN_TIME)
--- a/crates/sequoiagw-policy/tests/refused_callers.rs
+++ b/crates/sequoiagw-policy/tests/refused_callers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sequoiagw_policy::CallerAttempt;
 use sequoiagw_policy::RefusedCallers;
 use tokio::time::Instant;
 
@@ -9,30 +10,42 @@
     start + Duration::from_millis(millis)
 }
 
-/// Callers of "lookup" that arrived at `start` and were refused 5 ms later, one with a deadline
-/// after 1,200 ms and one after 1,100 ms.
+/// First attempt of a caller with this time left.
+fn first_attempt(arrival: Instant, time_left_ms: u64) -> CallerAttempt {
+    CallerAttempt {
+        arrival,
+        time_left: Duration::from_millis(time_left_ms),
+        first_arrival: arrival,
+    }
+}
+
+/// Callers of "lookup" that arrived at `start` with 1,200 and 1,100 ms left and were refused 5 ms
+/// later.
 fn two_refused_callers(start: Instant) -> RefusedCallers {
     let mut callers = RefusedCallers::default();
-    for deadline_ms in [1200, 1100] {
-        let deadline = after_ms(start, deadline_ms);
-        callers.record("lookup", deadline, start, after_ms(start, 5));
+    for time_left_ms in [1200, 1100] {
+        let attempt = first_attempt(start, time_left_ms);
+        callers.record("lookup", attempt, after_ms(start, 5));
     }
     callers
 }
 
+/// Time that the caller of "lookup" has waited whose attempt arrives `after` ms after the start with
+/// `time_left_ms` left, in milliseconds.
+fn waited_ms(callers: &mut RefusedCallers, start: Instant, after: u64, time_left_ms: u64) -> u128 {
+    let time_left = Duration::from_millis(time_left_ms);
+    let waited = callers.take_waited("lookup", time_left, after_ms(start, after));
+    waited.as_millis()
+}
+
 #[test]
 fn caller_that_returns_has_waited_since_its_first_attempt() {
     let start = Instant::now();
     let mut callers = two_refused_callers(start);
-    let now = after_ms(start, 230);
-    let deadline = after_ms(start, 1202);
+    assert_eq!(waited_ms(&mut callers, start, 230, 972), 230);
     assert_eq!(
-        callers.take_waited("lookup", deadline, now),
-        Duration::from_millis(230)
-    );
-    assert_eq!(
-        callers.take_waited("lookup", deadline, now),
-        Duration::ZERO,
+        waited_ms(&mut callers, start, 230, 972),
+        0,
         "a refused caller returns once"
     );
 }
@@ -41,44 +54,31 @@
 fn first_attempts_with_other_deadlines_and_routes_have_not_waited() {
     let start = Instant::now();
     let mut callers = two_refused_callers(start);
-    let now = after_ms(start, 230);
-    let deadline = after_ms(start, 1150);
-    assert_eq!(callers.take_waited("lookup", deadline, now), Duration::ZERO);
-    let deadline = after_ms(start, 1200);
-    assert_eq!(
-        callers.take_waited("confirm", deadline, now),
-        Duration::ZERO
-    );
+    assert_eq!(waited_ms(&mut callers, start, 230, 920), 0);
+    let time_left = Duration::from_millis(970);
+    let waited = callers.take_waited("confirm", time_left, after_ms(start, 230));
+    assert_eq!(waited, Duration::ZERO);
 }
 
 #[test]
 fn caller_that_arrives_beside_a_refused_one_has_not_waited() {
     let start = Instant::now();
     let mut callers = two_refused_callers(start);
-    let deadline = after_ms(start, 1202);
-    let now = after_ms(start, 7);
-    assert_eq!(callers.take_waited("lookup", deadline, now), Duration::ZERO);
-    let now = after_ms(start, 240);
-    assert_eq!(
-        callers.take_waited("lookup", deadline, now),
-        Duration::from_millis(240)
-    );
+    assert_eq!(waited_ms(&mut callers, start, 7, 1195), 0);
+    assert_eq!(waited_ms(&mut callers, start, 240, 962), 240);
 }
 
 #[test]
 fn waits_of_several_refusals_add_up() {
     let start = Instant::now();
     let mut callers = two_refused_callers(start);
-    let deadline = after_ms(start, 1200);
-    let now = after_ms(start, 230);
-    let waited = callers.take_waited("lookup", deadline, now);
-    let first_arrival = now.checked_sub(waited).expect("the caller has arrived");
-    callers.record("lookup", deadline, first_arrival, now);
-    let now = after_ms(start, 500);
-    assert_eq!(
-        callers.take_waited("lookup", deadline, now),
-        Duration::from_millis(500)
-    );
+    assert_eq!(waited_ms(&mut callers, start, 230, 970), 230);
+    let second_attempt = CallerAttempt {
+        first_arrival: start,
+        ..first_attempt(after_ms(start, 230), 970)
+    };
+    callers.record("lookup", second_attempt, after_ms(start, 231));
+    assert_eq!(waited_ms(&mut callers, start, 500, 700), 500);
 }
 
 #[test]
@@ -87,9 +87,21 @@
     let mut callers = RefusedCallers::default();
     for number in 0..100_000 {
         let now = start + Duration::from_micros(number * 10);
-        callers.record("lookup", now + Duration::from_millis(1200), now, now);
+        callers.record("lookup", first_attempt(now, 1200), now);
     }
-    let now = after_ms(start, 1200);
-    let waited = callers.take_waited("lookup", after_ms(start, 2195), now);
-    assert!(waited > Duration::from_millis(190), "{waited:?}");
+    let waited = waited_ms(&mut callers, start, 1200, 995);
+    assert!(waited > 190, "{waited}");
+}
+
+#[test]
+fn time_beyond_any_clock_is_no_deadline() {
+    let start = Instant::now();
+    let mut callers = two_refused_callers(start);
+    let endless = CallerAttempt {
+        time_left: Duration::MAX,
+        ..first_attempt(start, 0)
+    };
+    callers.record("lookup", endless, start);
+    let waited = callers.take_waited("lookup", Duration::MAX, after_ms(start, 230));
+    assert_eq!(waited, Duration::ZERO);
 }
