Let only routes with a relevant part of the runs count as long

Cause: a call whose route is short beside the longest one may wait until its deadline, since a run elsewhere may wait for it. The longest average was taken over all routes, so one long run of a route that is seldom used, such as a test of the configuration, made all others short: in an overload they were accepted up to the wait at which entries refuse (about the whole latency target), and nearly all that was served was late. Now a route needs a twentieth of the runs.

--- a/crates/sequoiagw-policy/src/occupancy_times.rs
+++ b/crates/sequoiagw-policy/src/occupancy_times.rs
@@ -11,15 +11,26 @@
 const SAMPLE_WEIGHT: f64 = 0.02;
 /// A route is short when its average is below this fraction of the longest average of a route.
 const SHORT_ROUTE_RATIO: f64 = 0.5;
+/// Part of all runs that a route needs for its average to count as the longest one. A route that
+/// runs now and then would make all others short otherwise.
+const MIN_ROUTE_SHARE: f64 = 0.05;
 /// Overall average assumed before the first sample.
 const DEFAULT_OCCUPANCY: Duration = Duration::from_millis(100);
 
+/// Average of one route.
+#[derive(Clone, Copy, Debug, Default)]
+struct RouteOccupancy {
+    mean: Option<Duration>,
+    /// Moving average of the part of all runs that are of this route.
+    share: f64,
+}
+
 /// Moving averages of the time for which calls occupy a slot, over all calls and by route.
 #[derive(Clone, Debug, Default)]
 pub struct OccupancyTimes {
     starts: HashMap<RunId, Instant>,
     mean: Option<Duration>,
-    routes: HashMap<String, Duration>,
+    routes: HashMap<String, RouteOccupancy>,
 }
 
 impl OccupancyTimes {
@@ -36,12 +47,15 @@
         };
         let occupancy = now.saturating_duration_since(start);
         self.mean = Some(update_average(self.mean, occupancy));
-        let old_mean = self.routes.get(route).copied();
-        let new_mean = update_average(old_mean, occupancy);
-        match self.routes.get_mut(route) {
-            Some(mean) => *mean = new_mean,
-            None => {
-                self.routes.insert(route.to_owned(), new_mean);
+        if !self.routes.contains_key(route) {
+            self.routes
+                .insert(route.to_owned(), RouteOccupancy::default());
+        }
+        for (name, known) in &mut self.routes {
+            known.share *= 1.0 - SAMPLE_WEIGHT;
+            if name == route {
+                known.share += SAMPLE_WEIGHT;
+                known.mean = Some(update_average(known.mean, occupancy));
             }
         }
         occupancy
@@ -52,16 +66,23 @@
         self.mean.unwrap_or(DEFAULT_OCCUPANCY)
     }
 
-    /// Whether a route's average is short compared with the longest average of a route.
+    /// Whether a route's average is short compared with the longest average of a route that has a
+    /// relevant part of the runs.
     pub fn is_short_route(&self, route: &str) -> bool {
-        let longest = self.routes.values().max().copied().unwrap_or_default();
-        let own = self.routes.get(route).copied();
+        let relevant_routes = self.routes.values();
+        let longest = relevant_routes
+            .filter(|known| known.share >= MIN_ROUTE_SHARE)
+            .filter_map(|known| known.mean)
+            .max()
+            .unwrap_or_default();
+        let own = self.routes.get(route).and_then(|known| known.mean);
         own.is_some_and(|own| own < longest.mul_f64(SHORT_ROUTE_RATIO))
     }
 
     /// Average of a route, or of all calls when the route has no samples yet.
     pub fn route_mean(&self, route: &str) -> Duration {
-        self.routes.get(route).copied().unwrap_or(self.mean())
+        let known = self.routes.get(route).and_then(|known| known.mean);
+        known.unwrap_or(self.mean())
     }
 }
 
--- a/crates/sequoiagw-policy/tests/overload.rs
+++ b/crates/sequoiagw-policy/tests/overload.rs
@@ -291,6 +291,31 @@
     );
 }
 
+#[test]
+fn a_rare_long_route_does_not_let_the_others_wait_beyond_their_latency_target() {
+    let overload = OfferedLoad {
+        interval_ms: 5,
+        run_ms: 100,
+        latency_target_ms: 300,
+        deadline_ms: 1200,
+        rank: 0,
+        ..LONG_CALL_OVERLOAD
+    };
+    let rare = OfferedLoad {
+        route: "report",
+        rank: 0,
+        interval_ms: 2900,
+        run_ms: 1000,
+        latency_target_ms: 3000,
+        deadline_ms: 4000,
+    };
+    let result = simulate(&[overload, rare], 12)[0];
+    assert!(
+        share(result.served_in_time, result.served) > 0.95,
+        "served calls must meet their latency target: {result:?}"
+    );
+}
+
 /// An owner that has sent a large answer on the route of downloads.
 fn owner_with_download() -> OwnerMachine {
     let mut owner = new_owner();
