Log when a node stops relying on its watchers, and each answered poll

The logs couldn't tell a watcher whose poll waits from one that has lost the store, nor when a node began to follow the store itself. store_polled comes with each answered poll, watchers_lost with the time since the last digest and the version that the node has. Both are bounded by polls and by changes of belief.

--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -2,6 +2,7 @@
 //! changes on to peers.
 
 use std::collections::HashMap;
+use std::time::Duration;
 
 use sequoiagw_protocol::ConfigRequest;
 use sequoiagw_protocol::FrameBody;
@@ -65,6 +66,11 @@
         self.is_watcher() || self.watchers.is_unresponsive(now)
     }
 
+    /// Time since the last digest of a watcher.
+    pub fn watchers_silent_time(&self, now: Instant) -> Duration {
+        self.watchers.silent_time(now)
+    }
+
     /// Whether all registrations must be read from the store, because the watchers' digest has
     /// differed for too long; resets the condition.
     pub fn take_pending_registration_read(&mut self, now: Instant) -> bool {
--- a/crates/sequoiagw-mesh/src/registration_sync.rs
+++ b/crates/sequoiagw-mesh/src/registration_sync.rs
@@ -123,6 +123,13 @@
         }
     }
 
+    /// Time since the last digest of a watcher, zero during the startup grace.
+    pub fn silent_time(&self, now: Instant) -> Duration {
+        self.last_digest.map_or(Duration::ZERO, |last_digest| {
+            now.saturating_duration_since(last_digest)
+        })
+    }
+
     /// Whether no digest has arrived within the timeout.
     pub fn is_unresponsive(&self, now: Instant) -> bool {
         self.last_digest
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -245,6 +245,24 @@
                 return;
             }
         }
+        self.log_watchers_lost();
+    }
+
+    /// Logs that this node follows the store because its watchers are unresponsive.
+    fn log_watchers_lost(&self) {
+        if self.handle.read(MeshCore::is_watcher) {
+            return;
+        }
+        let silent_time = self
+            .handle
+            .read(|core| core.watchers_silent_time(Instant::now()));
+        let version = self.version_number().unwrap_or_default();
+        warn!(
+            event = "watchers_lost",
+            silent_ms = silent_time.as_millis() as u64,
+            version
+        );
+        self.handle.counters().count("directory.watchers_lost");
     }
 
     /// Waits after a failure until the watchers' digests have had time to arrive again, so that
@@ -292,6 +310,13 @@
         };
         match polled {
             Ok(batch) => {
+                info!(
+                    event = "store_polled",
+                    prefix,
+                    after,
+                    revision = batch.revision,
+                    changes = batch.changes.len()
+                );
                 self.health.record_success();
                 Some(batch)
             }
