Show that lost watchers keep a data centre on an older version

The watchers' digests say that the store answers until a renewal of the lease has failed, up to 3.5 s after the store was lost, and the other nodes wait for them. On the code as it is the test fails: 2 s after a change nodes c and d have version 3 instead of 7.

--- /dev/null
+++ b/crates/sequoiagw-mesh/tests/lost_watchers.rs
@@ -0,0 +1,257 @@
+//! A data centre whose watchers lose the platform's store while the other nodes still reach it.
+
+mod support;
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sequoiagw_http::HttpRequest;
+use sequoiagw_mesh::ConfigReadError;
+use sequoiagw_mesh::HeaderNames;
+use sequoiagw_mesh::LocalRequest;
+use sequoiagw_mesh::MeshBackend;
+use sequoiagw_mesh::MeshCore;
+use sequoiagw_mesh::MeshHandle;
+use sequoiagw_mesh::MeshVersion;
+use sequoiagw_mesh::NodeRegistrar;
+use sequoiagw_mesh::PlatformFormat;
+use sequoiagw_mesh::StoreFollower;
+use sequoiagw_mesh::StoreHealth;
+use sequoiagw_mesh::NODES_PREFIX;
+use sequoiagw_node::CoreEvent;
+use sequoiagw_node::EventSender;
+use sequoiagw_node::NodeCounters;
+use sequoiagw_node::PeerLinks;
+use sequoiagw_protocol::NodeAddress;
+use sequoiagw_protocol::PeerFrame;
+use sequoiagw_store::ChangeBatch;
+use sequoiagw_store::KeyChange;
+use sequoiagw_store::KeyEntry;
+use sequoiagw_store::LeaseId;
+use sequoiagw_store::PollFuture;
+use sequoiagw_store::PollRequest;
+use sequoiagw_store::PollingStore;
+use sequoiagw_store::StoreError;
+use sequoiagw_store::StoreFuture;
+use sequoiagw_store::StoreReply;
+use sequoiagw_store::StoreRequest;
+use support::address;
+use support::registration;
+use support::settings;
+use support::version;
+use support::NODES;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::time::sleep;
+
+const CONFIG_KEY: &str = "config";
+const BOOT: u64 = 1;
+/// Time within which a confirmed version must be in force.
+const PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
+/// Time after which a call to a store that doesn't answer fails.
+const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+
+/// One node's access to the store that all nodes share.
+#[derive(Clone)]
+struct SharedStore {
+    /// Version that the operators wrote last; it is also the store's revision.
+    version: Rc<watch::Sender<u64>>,
+    /// Whether the store answers nothing that this node sends.
+    cut: Rc<Cell<bool>>,
+}
+
+impl SharedStore {
+    fn new(version: &Rc<watch::Sender<u64>>) -> Self {
+        Self {
+            version: Rc::clone(version),
+            cut: Rc::default(),
+        }
+    }
+
+    fn config(&self) -> KeyEntry {
+        let number = *self.version.borrow();
+        entry(CONFIG_KEY.to_owned(), number.to_string(), number)
+    }
+
+    async fn wait_if_cut(&self, time: Duration) -> Result<(), StoreError> {
+        if self.cut.get() {
+            sleep(time).await;
+            return Err(StoreError::Unavailable {
+                detail: "no answer".to_owned(),
+            });
+        }
+        Ok(())
+    }
+}
+
+fn entry(key: String, value: String, revision: u64) -> KeyEntry {
+    KeyEntry {
+        key,
+        value,
+        create_revision: revision,
+        mod_revision: revision,
+    }
+}
+
+impl PollingStore for SharedStore {
+    fn call(&self, request: StoreRequest) -> StoreFuture {
+        let store = self.clone();
+        Box::pin(async move {
+            store.wait_if_cut(CALL_TIMEOUT).await?;
+            let revision = *store.version.borrow();
+            Ok(match request {
+                StoreRequest::Read { .. } => StoreReply::Entries {
+                    entries: vec![store.config()],
+                    revision,
+                },
+                StoreRequest::ReadPrefix { .. } => StoreReply::Entries {
+                    entries: NODES.iter().map(|name| node_entry(name)).collect(),
+                    revision,
+                },
+                StoreRequest::Grant { ttl_s } => StoreReply::Leased {
+                    lease: LeaseId(1),
+                    ttl_s,
+                },
+                StoreRequest::KeepAlive { lease } => StoreReply::Leased { lease, ttl_s: 10 },
+                _ => StoreReply::Committed {
+                    applied: true,
+                    revision,
+                },
+            })
+        })
+    }
+
+    fn poll(&self, request: PollRequest) -> PollFuture {
+        let store = self.clone();
+        Box::pin(async move {
+            let mut version = store.version.subscribe();
+            let answer = async {
+                while *version.borrow_and_update() <= request.after || store.cut.get() {
+                    if version.changed().await.is_err() {
+                        std::future::pending::<()>().await;
+                    }
+                }
+            };
+            // A poll that waits while the node is cut off is never answered.
+            let _ = tokio::time::timeout(request.wait, answer).await;
+            store.wait_if_cut(CALL_TIMEOUT).await?;
+            let revision = *store.version.borrow();
+            let is_config = request.prefix == CONFIG_KEY && revision > request.after;
+            let changes = is_config.then(|| KeyChange::Written(store.config()));
+            Ok(ChangeBatch {
+                changes: changes.into_iter().collect(),
+                revision,
+            })
+        })
+    }
+}
+
+fn node_entry(name: &str) -> KeyEntry {
+    let value = serde_json::to_string(&registration(name, BOOT)).expect("a registration is JSON");
+    entry(format!("{NODES_PREFIX}{name}"), value, 1)
+}
+
+/// Platform format in which a configuration is only the number of a version.
+struct NumberFormat;
+
+impl PlatformFormat for NumberFormat {
+    fn headers(&self) -> &HeaderNames {
+        &support::HEADERS
+    }
+
+    fn config_key(&self) -> &str {
+        CONFIG_KEY
+    }
+
+    fn read_config(&self, source: &Bytes) -> Result<MeshVersion, ConfigReadError> {
+        let text = String::from_utf8_lossy(source);
+        let number = text.parse().map_err(|_| ConfigReadError {
+            detail: text.into_owned(),
+        })?;
+        Ok(version(number))
+    }
+
+    fn parse_local_request(&self, _request: &HttpRequest) -> LocalRequest {
+        LocalRequest::Readiness
+    }
+}
+
+/// Links that pass frames to the event loops of the other nodes at once.
+#[derive(Clone, Default)]
+struct DirectLinks {
+    receivers: Rc<std::cell::RefCell<Vec<(NodeAddress, EventSender)>>>,
+}
+
+impl PeerLinks for DirectLinks {
+    fn send(&self, to: NodeAddress, frame: PeerFrame) {
+        for (address, events) in self.receivers.borrow().iter() {
+            if *address == to {
+                // The receiver's loop runs until the end of the test.
+                let frame = frame.clone();
+                let _ = events.send(CoreEvent::Frame { frame, bytes: 50 });
+            }
+        }
+    }
+
+    fn reset(&self, _to: NodeAddress) {}
+}
+
+/// Starts a node with all its tasks.
+fn start_node(name: &str, store: &SharedStore, links: &DirectLinks) -> MeshHandle {
+    let (events, receiver) = mpsc::unbounded_channel();
+    let own_address = NodeAddress::parse(&address(name)).expect("an address");
+    links
+        .receivers
+        .borrow_mut()
+        .push((own_address, events.clone()));
+    let unused_address: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+    let backend = MeshBackend::new(unused_address, support::HEADERS, events);
+    let core = MeshCore::new(settings(name), BOOT, NodeCounters::default());
+    let links = Box::new(links.clone());
+    let handle = MeshHandle::new(core, links, backend, Rc::new(NumberFormat));
+    let health = StoreHealth::new(NodeCounters::default());
+    let store: Rc<dyn PollingStore> = Rc::new(store.clone());
+    let follower = StoreFollower::new(handle.clone(), Rc::clone(&store), health.clone());
+    let registrar = NodeRegistrar::new(handle.clone(), store, health);
+    tokio::task::spawn_local(follower.clone().request_config_from_peers());
+    tokio::task::spawn_local(follower.clone().follow_config());
+    tokio::task::spawn_local(follower.clone().broadcast_digests());
+    tokio::task::spawn_local(follower.follow_registrations());
+    tokio::task::spawn_local(registrar.run());
+    let event_handle = handle.clone();
+    tokio::task::spawn_local(async move { event_handle.run(receiver).await });
+    handle
+}
+
+#[tokio::test(start_paused = true)]
+async fn version_is_in_force_in_time_although_the_watchers_lost_the_store_unnoticed() {
+    let check = async {
+        // The moment of the cut relative to the renewals and digests is varied.
+        for step in 0..10 {
+            let operators = Rc::new(watch::channel(3).0);
+            let links = DirectLinks::default();
+            let stores: Vec<SharedStore> =
+                NODES.iter().map(|_| SharedStore::new(&operators)).collect();
+            let nodes: Vec<MeshHandle> = NODES
+                .iter()
+                .zip(&stores)
+                .map(|(name, store)| start_node(name, store, &links))
+                .collect();
+            sleep(Duration::from_secs(20) + Duration::from_millis(200) * step).await;
+            for store in &stores[..2] {
+                store.cut.set(true);
+            }
+            operators.send_replace(7);
+            sleep(PROPAGATION_LIMIT).await;
+            for node in &nodes[2..] {
+                let number = node.read(MeshCore::active_version_number);
+                assert_eq!(number, 7, "the cut was at step {step}");
+            }
+        }
+    };
+    LocalSet::new().run_until(check).await;
+}
--- a/crates/sequoiagw-mesh/tests/store_follower.rs
+++ b/crates/sequoiagw-mesh/tests/store_follower.rs
@@ -139,14 +139,7 @@
 
 impl PlatformFormat for NumberFormat {
     fn headers(&self) -> &HeaderNames {
-        &HeaderNames {
-            request_id: "Id",
-            deadline: "Deadline",
-            signature: "Signature",
-            expected_instance: "Instance",
-            not_run: "Not-Run",
-            caller_service: "Service",
-        }
+        &support::HEADERS
     }
 
     fn config_key(&self) -> &str {
