Let watchers vouch for the store only while it answers

Callers saw a request refused with 404 by nodes that reached the store and had an older version, since their watchers had lost it and didn't know.

Cause: what a digest says of the store came from renewals each 2 s that fail after 1.5 s, and a node dropped its watchers only 1.3 s after the last digest: up to 4.8 s together, 2 s are allowed. Class: a liveness signal that shows that a process runs and is taken for a proof that its source is current.

Now a watcher renews each 0.5 s and counts the store as lost after 0.7 s without an answer, says so at once, and a node judges each watcher by its latest digest; one that has lost the store counts for nothing.

--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -99,8 +99,11 @@
             FrameBody::Digest(received) => {
                 let own_digest = self.directory.digest();
                 let sender_lacks_store = received.hashes.is_empty();
+                if sender_lacks_store {
+                    self.watchers.on_store_lost(from);
+                }
                 for hash in received.hashes {
-                    self.watchers.on_digest(hash.hash, own_digest, now);
+                    self.watchers.on_digest(from, hash.hash, own_digest, now);
                 }
                 if self.watchers.take_pending_records_request(now) {
                     self.request_records(from);
--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -26,6 +26,11 @@
 const LEASE_TTL_S: u64 = 10;
 /// Time between renewals, which also show whether the store answers.
 const RENEW_INTERVAL: Duration = Duration::from_secs(2);
+/// Time between a watcher's renewals, so that it learns soon that the store is lost: the other
+/// nodes of its data centre rely on what it sends.
+const WATCHER_RENEW_INTERVAL: Duration = Duration::from_millis(500);
+/// Time without an answer to a renewal after which the store counts as lost.
+const ANSWER_DELAY_LIMIT: Duration = Duration::from_millis(700);
 /// Longest time that a starting process waits for its backend server's first heartbeat.
 const FIRST_HEARTBEAT_WAIT: Duration = Duration::from_millis(1500);
 /// Longest wait for the first heartbeat when the whole fleet starts for the first time, since
@@ -124,7 +129,7 @@
             return Err(malformed("reply to a lease grant carries no lease"));
         };
         self.lease = Some(lease);
-        self.next_renewal = Instant::now() + RENEW_INTERVAL;
+        self.next_renewal = Instant::now() + self.renew_interval();
         Ok(lease)
     }
 
@@ -132,10 +137,10 @@
         let Some(lease) = self.lease else {
             return Ok(());
         };
-        match self.store.call(StoreRequest::KeepAlive { lease }).await {
+        match self.keep_alive(lease).await {
             Ok(_) => {
                 self.health.record_success();
-                self.next_renewal = Instant::now() + RENEW_INTERVAL;
+                self.next_renewal = Instant::now() + self.renew_interval();
                 Ok(())
             }
             Err(StoreError::LeaseLapsed { .. }) => {
@@ -148,6 +153,26 @@
         }
     }
 
+    /// Renews a lease. An answer that is late counts as a failure of the store until it arrives.
+    async fn keep_alive(&self, lease: LeaseId) -> Result<StoreReply, StoreError> {
+        let mut renewal = self.store.call(StoreRequest::KeepAlive { lease });
+        if let Ok(reply) = timeout(ANSWER_DELAY_LIMIT, &mut renewal).await {
+            return reply;
+        }
+        self.health.record_failure(&StoreError::Unavailable {
+            detail: format!("no answer to a renewal within {ANSWER_DELAY_LIMIT:?}"),
+        });
+        renewal.await
+    }
+
+    fn renew_interval(&self) -> Duration {
+        if self.handle.read(MeshCore::is_watcher) {
+            WATCHER_RENEW_INTERVAL
+        } else {
+            RENEW_INTERVAL
+        }
+    }
+
     async fn write(
         &mut self,
         registration: NodeRegistration,
--- a/crates/sequoiagw-mesh/src/registration_sync.rs
+++ b/crates/sequoiagw-mesh/src/registration_sync.rs
@@ -6,6 +6,7 @@
 //! that receives none watches the store itself, and a node whose own digest stays different
 //! reads all registrations again.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
 use sequoiagw_protocol::MemberRecord;
@@ -103,8 +104,11 @@
 /// Tracks the digests and versions that a node receives from the watchers of its data centre.
 #[derive(Debug, Default)]
 pub struct WatcherMonitor {
-    /// When the last digest arrived. At a start it lies in the future by `STARTUP_GRACE`.
-    last_digest: Option<Instant>,
+    /// When the last digest of each watcher arrived that had the store. A watcher that has lost
+    /// the store has none.
+    last_digests: HashMap<NodeId, Instant>,
+    /// End of the startup grace, `None` once a digest has arrived.
+    grace_end: Option<Instant>,
     /// Since when the watchers' digest has differed from this node's.
     mismatch_since: Option<Instant>,
     /// Whether a watcher has been asked for its records since `mismatch_since`.
@@ -118,27 +122,36 @@
     /// unresponsive, so that the process doesn't watch the store itself at once.
     pub fn with_startup_grace(now: Instant) -> Self {
         Self {
-            last_digest: Some(now + STARTUP_GRACE),
+            grace_end: Some(now + STARTUP_GRACE),
             ..Self::default()
         }
     }
 
-    /// Time since the last digest of a watcher, zero during the startup grace.
+    /// Time since the last digest of a watcher that has the store, zero during the startup grace.
     pub fn silent_time(&self, now: Instant) -> Duration {
-        self.last_digest.map_or(Duration::ZERO, |last_digest| {
+        self.last_digest().map_or(Duration::ZERO, |last_digest| {
             now.saturating_duration_since(last_digest)
         })
     }
 
-    /// Whether no digest has arrived within the timeout.
+    /// Whether no watcher that has the store has sent a digest within the timeout.
     pub fn is_unresponsive(&self, now: Instant) -> bool {
-        self.last_digest
+        self.last_digest()
             .is_none_or(|last_digest| now >= last_digest + DIGEST_TIMEOUT)
     }
 
-    /// Compares a watcher's digest with this node's.
-    pub fn on_digest(&mut self, digest: u64, own_digest: u64, now: Instant) {
-        self.last_digest = Some(now);
+    /// Newest digest of all watchers that have the store; before the first one, the end of the
+    /// startup grace.
+    fn last_digest(&self) -> Option<Instant> {
+        self.last_digests.values().copied().max().or(self.grace_end)
+    }
+
+    /// Compares the digest of a watcher with this node's.
+    pub fn on_digest(&mut self, watcher: NodeId, digest: u64, own_digest: u64, now: Instant) {
+        self.last_digests.insert(watcher, now);
+        self.last_digests
+            .retain(|_, last_digest| now < *last_digest + DIGEST_TIMEOUT);
+        self.grace_end = None;
         if digest == own_digest {
             self.mismatch_since = None;
             self.records_requested = false;
@@ -147,6 +160,12 @@
         }
     }
 
+    /// Records that a watcher has lost the store. Its earlier digests no longer show that what it
+    /// sends is up to date.
+    pub fn on_store_lost(&mut self, watcher: NodeId) {
+        self.last_digests.remove(&watcher);
+    }
+
     /// Whether a watcher must be asked for its records; true once while the digests differ.
     pub fn take_pending_records_request(&mut self, now: Instant) -> bool {
         let overdue = self
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -218,11 +218,15 @@
         sleep(REGISTRATION_BATCH_DELAY).await;
     }
 
-    /// Sends the digest of all registrations at intervals while this node is a watcher, and never
-    /// returns. While the store is unavailable the digest only shows that the node is running.
+    /// Sends the digest of all registrations at intervals while this node is a watcher, and at
+    /// once when the store is lost; never returns. While the store is unavailable the digest only
+    /// shows that the node is running.
     pub async fn broadcast_digests(self) {
         loop {
-            sleep(DIGEST_INTERVAL).await;
+            tokio::select! {
+                () = sleep(DIGEST_INTERVAL) => {}
+                () = self.health.wait_for_failure() => {}
+            }
             let store_available = self.health.failing_since().is_none();
             self.handle
                 .with_core(|core, now| core.broadcast_digest(store_available, now));
--- a/crates/sequoiagw-mesh/src/store_health.rs
+++ b/crates/sequoiagw-mesh/src/store_health.rs
@@ -7,6 +7,7 @@
 use sequoiagw_node::NodeCounters;
 use sequoiagw_store::StoreError;
 use tokio::sync::watch;
+use tokio::sync::Notify;
 use tokio::time::Instant;
 use tracing::info;
 use tracing::warn;
@@ -24,6 +25,7 @@
 pub struct StoreHealth {
     failing_since: Rc<Cell<Option<Instant>>>,
     recoveries: Rc<watch::Sender<u64>>,
+    failures: Rc<Notify>,
     counters: NodeCounters,
 }
 
@@ -34,6 +36,7 @@
         Self {
             failing_since: Rc::default(),
             recoveries: Rc::new(recoveries),
+            failures: Rc::default(),
             counters,
         }
     }
@@ -44,6 +47,7 @@
         if self.failing_since.get().is_none() {
             warn!(event = "store_lost", error = %error);
             self.failing_since.set(Some(Instant::now()));
+            self.failures.notify_waiters();
         }
     }
 
@@ -74,6 +78,11 @@
         }
     }
 
+    /// Waits for the next failure after a successful call.
+    pub async fn wait_for_failure(&self) {
+        self.failures.notified().await;
+    }
+
     /// Receiver whose value changes each time the store recovers. A poll that was waiting at the
     /// store during an outage may never be answered and must be repeated.
     pub fn subscribe_recovery(&self) -> watch::Receiver<u64> {
--- a/crates/sequoiagw-mesh/tests/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/tests/fleet_directory.rs
@@ -109,7 +109,7 @@
     let now = Instant::now();
     let mut watchers = WatcherMonitor::default();
     assert!(watchers.is_unresponsive(now), "no digest has arrived yet");
-    watchers.on_digest(1, 1, now);
+    watchers.on_digest(NodeId::from_name("a"), 1, 1, now);
     assert!(!watchers.is_unresponsive(now));
     assert!(watchers.is_unresponsive(now + Duration::from_secs(4)));
     let watchers = WatcherMonitor::with_startup_grace(now);
@@ -126,13 +126,13 @@
     let at = |millis| start + Duration::from_millis(millis);
     let mut watchers = WatcherMonitor::default();
     for (millis, digest) in [(0, 2), (500, 1), (1000, 2), (3000, 2)] {
-        watchers.on_digest(digest, 1, at(millis));
+        watchers.on_digest(NodeId::from_name("a"), digest, 1, at(millis));
         assert!(
             !watchers.take_pending_registration_read(at(millis)),
             "no read must be pending after {millis} ms"
         );
     }
-    watchers.on_digest(2, 1, at(3500));
+    watchers.on_digest(NodeId::from_name("a"), 2, 1, at(3500));
     assert!(watchers.take_pending_registration_read(at(3500)));
     assert!(
         !watchers.take_pending_registration_read(at(3500)),
--- a/crates/sequoiagw-mesh/tests/lost_watchers.rs
+++ b/crates/sequoiagw-mesh/tests/lost_watchers.rs
@@ -1,23 +1,21 @@
 //! A data centre whose watchers lose the platform's store while the other nodes still reach it.
 
+mod number_format;
 mod support;
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
-use sequoiagw_http::HttpRequest;
-use sequoiagw_mesh::ConfigReadError;
-use sequoiagw_mesh::HeaderNames;
-use sequoiagw_mesh::LocalRequest;
+use number_format::NumberFormat;
+use number_format::CONFIG_KEY;
+use number_format::HEADERS;
 use sequoiagw_mesh::MeshBackend;
 use sequoiagw_mesh::MeshCore;
 use sequoiagw_mesh::MeshHandle;
-use sequoiagw_mesh::MeshVersion;
 use sequoiagw_mesh::NodeRegistrar;
-use sequoiagw_mesh::PlatformFormat;
 use sequoiagw_mesh::StoreFollower;
 use sequoiagw_mesh::StoreHealth;
 use sequoiagw_mesh::NODES_PREFIX;
@@ -41,14 +39,12 @@
 use support::address;
 use support::registration;
 use support::settings;
-use support::version;
 use support::NODES;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
-const CONFIG_KEY: &str = "config";
 const BOOT: u64 = 1;
 /// Time within which a confirmed version must be in force.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
@@ -155,35 +151,10 @@
     entry(format!("{NODES_PREFIX}{name}"), value, 1)
 }
 
-/// Platform format in which a configuration is only the number of a version.
-struct NumberFormat;
-
-impl PlatformFormat for NumberFormat {
-    fn headers(&self) -> &HeaderNames {
-        &support::HEADERS
-    }
-
-    fn config_key(&self) -> &str {
-        CONFIG_KEY
-    }
-
-    fn read_config(&self, source: &Bytes) -> Result<MeshVersion, ConfigReadError> {
-        let text = String::from_utf8_lossy(source);
-        let number = text.parse().map_err(|_| ConfigReadError {
-            detail: text.into_owned(),
-        })?;
-        Ok(version(number))
-    }
-
-    fn parse_local_request(&self, _request: &HttpRequest) -> LocalRequest {
-        LocalRequest::Readiness
-    }
-}
-
 /// Links that pass frames to the event loops of the other nodes at once.
 #[derive(Clone, Default)]
 struct DirectLinks {
-    receivers: Rc<std::cell::RefCell<Vec<(NodeAddress, EventSender)>>>,
+    receivers: Rc<RefCell<Vec<(NodeAddress, EventSender)>>>,
 }
 
 impl PeerLinks for DirectLinks {
@@ -209,7 +180,7 @@
         .borrow_mut()
         .push((own_address, events.clone()));
     let unused_address: SocketAddr = "127.0.0.1:9".parse().expect("an address");
-    let backend = MeshBackend::new(unused_address, support::HEADERS, events);
+    let backend = MeshBackend::new(unused_address, HEADERS, events);
     let core = MeshCore::new(settings(name), BOOT, NodeCounters::default());
     let links = Box::new(links.clone());
     let handle = MeshHandle::new(core, links, backend, Rc::new(NumberFormat));
--- a/crates/sequoiagw-mesh/tests/store_follower.rs
+++ b/crates/sequoiagw-mesh/tests/store_follower.rs
@@ -1,5 +1,6 @@
 //! Number of store calls that a node makes, and the time until it activates a stored version.
 
+mod number_format;
 mod support;
 
 use std::cell::Cell;
@@ -10,15 +11,11 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use sequoiagw_http::HttpRequest;
-use sequoiagw_mesh::ConfigReadError;
-use sequoiagw_mesh::HeaderNames;
-use sequoiagw_mesh::LocalRequest;
+use number_format::NumberFormat;
+use number_format::HEADERS;
 use sequoiagw_mesh::MeshBackend;
 use sequoiagw_mesh::MeshCore;
 use sequoiagw_mesh::MeshHandle;
-use sequoiagw_mesh::MeshVersion;
-use sequoiagw_mesh::PlatformFormat;
 use sequoiagw_mesh::RegistrationChange;
 use sequoiagw_mesh::StoreFollower;
 use sequoiagw_mesh::StoreHealth;
@@ -42,14 +39,12 @@
 use sequoiagw_store::StoreRequest;
 use support::registration;
 use support::settings;
-use support::version;
 use support::NODES;
 use tokio::sync::mpsc;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 use tokio::time::Instant;
 
-const CONFIG_KEY: &str = "config";
 const BOOT: u64 = 1;
 
 /// A store that counts its calls. Its configuration is the number of a version.
@@ -134,31 +129,6 @@
     }
 }
 
-/// Platform format in which a configuration is only the number of a version.
-struct NumberFormat;
-
-impl PlatformFormat for NumberFormat {
-    fn headers(&self) -> &HeaderNames {
-        &support::HEADERS
-    }
-
-    fn config_key(&self) -> &str {
-        CONFIG_KEY
-    }
-
-    fn read_config(&self, source: &Bytes) -> Result<MeshVersion, ConfigReadError> {
-        let text = String::from_utf8_lossy(source);
-        let number = text.parse().map_err(|_| ConfigReadError {
-            detail: text.into_owned(),
-        })?;
-        Ok(version(number))
-    }
-
-    fn parse_local_request(&self, _request: &HttpRequest) -> LocalRequest {
-        LocalRequest::Readiness
-    }
-}
-
 /// Links that drop all frames.
 struct NoLinks;
 
@@ -172,8 +142,7 @@
 fn follow(name: &str, store: &CountingStore) -> MeshHandle {
     let (events, _receiver) = mpsc::unbounded_channel();
     let unused_address: SocketAddr = "127.0.0.1:9".parse().expect("an address");
-    let header_names = *NumberFormat.headers();
-    let backend = MeshBackend::new(unused_address, header_names, events);
+    let backend = MeshBackend::new(unused_address, HEADERS, events);
     let core = MeshCore::new(settings(name), BOOT, NodeCounters::default());
     let handle = MeshHandle::new(core, Box::new(NoLinks), backend, Rc::new(NumberFormat));
     let health = StoreHealth::new(NodeCounters::default());
--- a/crates/sequoiagw-mesh/tests/support/mod.rs
+++ b/crates/sequoiagw-mesh/tests/support/mod.rs
@@ -4,7 +4,6 @@
 
 use sequoiagw_mesh::BackendSettings;
 use sequoiagw_mesh::CallerLimits;
-use sequoiagw_mesh::HeaderNames;
 use sequoiagw_mesh::MeshRoute;
 use sequoiagw_mesh::MeshSettings;
 use sequoiagw_mesh::MeshVersion;
@@ -16,16 +15,6 @@
 /// Names of the nodes, all in one data centre; the first two have the fastest links.
 pub const NODES: [&str; 4] = ["a", "b", "c", "d"];
 
-/// Header names of the tests' platform.
-pub const HEADERS: HeaderNames = HeaderNames {
-    request_id: "Id",
-    deadline: "Deadline",
-    signature: "Signature",
-    expected_instance: "Instance",
-    not_run: "Not-Run",
-    caller_service: "Service",
-};
-
 /// Address of a node for links from other nodes.
 pub fn address(name: &str) -> String {
     let number = NODES.iter().position(|node| *node == name).unwrap_or(0);
