End an outage with the first answer to a process without a lease

A process that starts in an outage of the store has no lease. Its first answers, to the grant and to the write of its registration, didn't count as a recovery, so the followers went on waiting, up to 8 s or until the next renewal. Class: success seen by one task and not told to the others.

The test failed before (no version 2 s after the store's return) and passes now.

--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -128,6 +128,7 @@
         let StoreReply::Leased { lease, .. } = self.store.call(request).await? else {
             return Err(malformed("reply to a lease grant carries no lease"));
         };
+        self.health.record_success();
         self.lease = Some(lease);
         self.next_renewal = Instant::now() + self.renew_interval();
         Ok(lease)
@@ -193,6 +194,7 @@
         };
         match self.store.call(request).await {
             Ok(reply) => {
+                self.health.record_success();
                 let revision = match reply {
                     StoreReply::Committed { revision, .. } => revision,
                     _ => 0,
--- a/crates/sequoiagw-mesh/tests/lost_watchers.rs
+++ b/crates/sequoiagw-mesh/tests/lost_watchers.rs
@@ -48,6 +48,8 @@
 const BOOT: u64 = 1;
 /// Time within which a confirmed version must be in force.
 const PROPAGATION_LIMIT: Duration = Duration::from_secs(2);
+/// Time after which a failed call to the store is made again.
+const RETRY_DELAY: Duration = Duration::from_millis(500);
 /// Time after which a call to a store that doesn't answer fails.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
 
@@ -226,3 +228,21 @@
     };
     LocalSet::new().run_until(check).await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn outage_does_not_outlast_the_first_answer_to_a_process_without_a_lease() {
+    let check = async {
+        let operators = Rc::new(watch::channel(3).0);
+        let store = SharedStore::new(&operators);
+        store.cut.set(true);
+        let links = DirectLinks::default();
+        let node = start_node("c", &store, &links);
+        // The followers of the configuration wait for a sign that the store is back.
+        sleep(Duration::from_secs(7)).await;
+        store.cut.set(false);
+        operators.send_replace(7);
+        sleep(CALL_TIMEOUT + RETRY_DELAY).await;
+        assert_eq!(node.read(MeshCore::active_version_number), 7);
+    };
+    LocalSet::new().run_until(check).await;
+}
