Keep to the limit of requests that a backend server names

Cause: nothing read the header; owners admit by slots and run times alone. Class: a statement of a backend server on its capacity that no decision takes as input.

All requests to a backend server go through its owner, so the limit is kept there: a token bucket paces the starts, the expected wait and the slots in load reports follow from it, so entries place elsewhere and refuse early. An owner that has just started runs four calls until the first answer tells whether there is a limit. Each change of the limit is logged (request_limit_changed).

--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -13,6 +13,8 @@
 use sequoiagw_http::HttpConnection;
 use sequoiagw_http::HttpResponse;
 use sequoiagw_http::ResponseHead;
+use sequoiagw_node::BackendNotice;
+use sequoiagw_node::CoreEvent;
 use sequoiagw_node::EventSender;
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::RunId;
@@ -42,6 +44,8 @@
 struct ClientState {
     idle: Vec<HttpConnection>,
     runs: HashMap<RunId, AbortHandle>,
+    /// What the backend server said of itself last.
+    last_notice: Option<BackendNotice>,
 }
 
 /// Client of the backend server.
@@ -90,7 +94,7 @@
 
     fn finish(&self, run: RunId, result: BackendResult) {
         self.state.borrow_mut().runs.remove(&run);
-        let event = sequoiagw_node::CoreEvent::RunFinished(run, result);
+        let event = CoreEvent::RunFinished(run, result);
         // Sending fails only after the node has stopped.
         let _ = self.events.send(event);
     }
@@ -118,6 +122,7 @@
         match result {
             Ok(response) => {
                 self.return_to_pool(connection);
+                self.report_notice(&response, instance);
                 self.read_response(response)
             }
             Err(error) => {
@@ -185,6 +190,29 @@
         HttpConnection::encode_request(&dispatch.method, &dispatch.path, &headers, &dispatch.body)
     }
 
+    /// Reports what the backend server says of itself if that has changed. A response
+    /// without a signature doesn't end a limit.
+    fn report_notice(&self, response: &HttpResponse, instance: &str) {
+        if response.head.status == STATUS_MISDIRECTED {
+            return;
+        }
+        let names = &self.header_names;
+        let request_limit = response.header(names.request_limit).and_then(parse_limit);
+        if request_limit.is_none() && response.header(names.signature).is_none() {
+            return;
+        }
+        let notice = BackendNotice {
+            instance: instance.to_owned(),
+            request_limit,
+        };
+        let mut state = self.state.borrow_mut();
+        if state.last_notice.as_ref() != Some(&notice) {
+            state.last_notice = Some(notice.clone());
+            // Sending fails only after the node has stopped.
+            let _ = self.events.send(CoreEvent::BackendNoticed(notice));
+        }
+    }
+
     fn read_response(&self, response: HttpResponse) -> BackendResult {
         let status = response.head.status;
         if response.header(self.header_names.not_run).is_some() {
@@ -214,3 +242,9 @@
         }
     }
 }
+
+/// Parses a limit in requests per second; `None` if it isn't one.
+fn parse_limit(value: &str) -> Option<f64> {
+    let limit: f64 = value.trim().parse().ok()?;
+    (limit.is_finite() && limit >= 0.0).then_some(limit)
+}
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sequoiagw_node::BackendNotice;
 use sequoiagw_node::NodeCounters;
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::CallRequest;
@@ -23,6 +24,7 @@
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
+use sequoiagw_telemetry::REQUEST_LOG_TARGET;
 use tokio::time::Instant;
 use tracing::info;
 
@@ -78,6 +80,8 @@
     pub(crate) loopback_frames: VecDeque<FrameBody>,
     /// Slots offered now, 0 when the backend server accepts no work.
     pub(crate) offered_slots: u32,
+    /// Requests per second that the backend server takes, `None` without a limit.
+    pub(crate) request_limit: Option<f64>,
     pub(crate) draining: bool,
     pub(crate) refusing_callers: bool,
     pub(crate) store_access: StoreAccess,
@@ -111,6 +115,7 @@
             rng,
             loopback_frames: VecDeque::new(),
             offered_slots: 0,
+            request_limit: None,
             draining: false,
             refusing_callers: false,
             store_access: StoreAccess::Available,
@@ -251,11 +256,41 @@
 
     /// Handles a heartbeat of the backend server.
     pub fn on_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) -> HeartbeatOutcome {
+        let previous = self.target.incarnation().cloned();
         let outcome = self.target.on_heartbeat(heartbeat, now);
+        if self.target.incarnation() != previous.as_ref() {
+            self.set_request_limit(None, now);
+        }
         self.update_slot_offer(now);
         outcome
     }
 
+    /// Handles what the backend server says of itself in a response. A response of an earlier
+    /// process than the current one is ignored.
+    pub fn on_backend_notice(&mut self, notice: &BackendNotice, now: Instant) {
+        let current = self.target.incarnation();
+        if current.is_some_and(|current| current.instance == notice.instance) {
+            self.set_request_limit(notice.request_limit, now);
+        }
+        self.process_actions(now);
+    }
+
+    /// Limits the requests per second that the backend server gets; `None` removes the limit.
+    fn set_request_limit(&mut self, limit: Option<f64>, now: Instant) {
+        if limit == self.request_limit {
+            return;
+        }
+        info!(
+            target: REQUEST_LOG_TARGET,
+            event = "request_limit_changed",
+            per_s = limit,
+            before_per_s = self.request_limit
+        );
+        self.counters.count("backend.limit_changed");
+        self.request_limit = limit;
+        self.owner.set_start_rate(limit, now);
+    }
+
     /// Handles a leave notice of the backend server; `unix_ms` is the time at which the notice
     /// arrived, by the host's clock.
     pub fn on_leave_notice(&mut self, instance: &str, unix_ms: u64, now: Instant) {
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -192,6 +192,9 @@
             CoreEvent::RunFinished(run, result) => {
                 self.with_core(|core, now| core.on_run_finished(run, result, now));
             }
+            CoreEvent::BackendNoticed(notice) => {
+                self.with_core(|core, now| core.on_backend_notice(&notice, now));
+            }
             CoreEvent::StoreReplied { .. }
             | CoreEvent::WatchUpdated(_)
             | CoreEvent::BackendAnnounced(_)
--- a/crates/sequoiagw-mesh/src/platform_format.rs
+++ b/crates/sequoiagw-mesh/src/platform_format.rs
@@ -21,6 +21,8 @@
     pub expected_instance: &'static str,
     /// Set by a backend server on the refusal of a request that it didn't run.
     pub not_run: &'static str,
+    /// Requests per second that a backend server takes from all nodes together.
+    pub request_limit: &'static str,
     /// Service that sent a request.
     pub caller_service: &'static str,
 }
--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -179,6 +179,11 @@
         serves.then_some((&current.incarnation, current.slots))
     }
 
+    /// Incarnation that sent the newest heartbeat.
+    pub fn incarnation(&self) -> Option<&TargetIncarnation> {
+        self.current.as_ref().map(|current| &current.incarnation)
+    }
+
     /// Incarnation that is leaving.
     pub fn leaving(&self) -> Option<&TargetIncarnation> {
         let current = self.current.as_ref().filter(|current| current.leaving);
--- a/crates/sequoiagw-mesh/tests/number_format/mod.rs
+++ b/crates/sequoiagw-mesh/tests/number_format/mod.rs
@@ -19,6 +19,7 @@
     signature: "Signature",
     expected_instance: "Instance",
     not_run: "Not-Run",
+    request_limit: "Limit",
     caller_service: "Service",
 };
 
--- a/crates/sequoiagw-node/src/core_event.rs
+++ b/crates/sequoiagw-node/src/core_event.rs
@@ -13,6 +13,7 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::BackendNotice;
 use crate::StoreTag;
 
 /// Announcement of a backend server to its node.
@@ -70,6 +71,8 @@
     WatchUpdated(Option<Result<WatchUpdate, StoreError>>),
     /// A run at the backend server has finished.
     RunFinished(RunId, BackendResult),
+    /// The backend server said something new of itself in a response.
+    BackendNoticed(BackendNotice),
     /// The backend server sent an announcement.
     BackendAnnounced(BackendAnnouncement),
     /// The backend server withdrew its announcement.
--- a/crates/sequoiagw-node/src/lib.rs
+++ b/crates/sequoiagw-node/src/lib.rs
@@ -8,6 +8,7 @@
 mod admin_api;
 mod admin_service;
 mod backend_client;
+mod backend_notice;
 mod caller_server;
 mod core_action;
 mod core_changes;
@@ -35,6 +36,7 @@
 
 pub use admin_api::AdminApi;
 pub use backend_client::HttpBackend;
+pub use backend_notice::BackendNotice;
 pub use caller_server::CallerServer;
 pub use core_action::CoreAction;
 pub use core_action::StoreTag;
--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -269,6 +269,8 @@
                 self.set_backend(Some(announcement), now);
             }
             CoreEvent::BackendWithdrawn => self.set_backend(None, now),
+            // Backend servers of the project's own interface name no limit.
+            CoreEvent::BackendNoticed(_) => self.counters.count("backend.notice_unexpected"),
         }
         self.process_actions(now);
     }
--- a/crates/sequoiagw-policy/src/owner_call.rs
+++ b/crates/sequoiagw-policy/src/owner_call.rs
@@ -49,6 +49,11 @@
 }
 
 impl BackendResult {
+    /// Whether the backend server sent a response.
+    pub(crate) fn is_response(&self) -> bool {
+        matches!(self, Self::Answered { .. } | Self::Shed)
+    }
+
     /// Converts the result into the outcome reported to the entry.
     pub fn into_outcome(self) -> CallOutcome {
         match self {
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -30,6 +30,7 @@
 use crate::RefusalRecord;
 use crate::RunId;
 use crate::SlotLimiter;
+use crate::StartPacer;
 use crate::StartRates;
 
 /// Time for which an outcome is kept, so that an entry can query it after losing its link.
@@ -52,6 +53,11 @@
     pub(crate) queue: RankQueue,
     pub(crate) occupancy: OccupancyTimes,
     pub(crate) start_rates: StartRates,
+    pub(crate) pacer: StartPacer,
+    /// Whether the backend server has answered this process yet.
+    pub(crate) backend_known: bool,
+    /// When queued calls may start that wait for the pacer alone.
+    pub(crate) paused_until: Option<Instant>,
     pub(crate) answer_sizes: AnswerSizes,
     /// Time until the large answers that wait at this host have been sent.
     pub(crate) link_wait: Duration,
@@ -88,6 +94,9 @@
             queue,
             occupancy: OccupancyTimes::default(),
             start_rates: StartRates::default(),
+            pacer: StartPacer::default(),
+            backend_known: false,
+            paused_until: None,
             answer_sizes: AnswerSizes::default(),
             link_wait: Duration::ZERO,
             calls: HashMap::new(),
@@ -133,7 +142,7 @@
     pub fn load(&self, now: Instant) -> LoadReport {
         LoadReport {
             running: self.limiter.running(),
-            slots: self.limiter.allowed(),
+            slots: self.usable_slots(),
             waiting: self.queue.len() as u32,
             open_levels: if self.draining {
                 0
@@ -146,6 +155,12 @@
         }
     }
 
+    /// Limits the rate at which runs start, in runs per second; `None` removes the limit.
+    pub fn set_start_rate(&mut self, rate: Option<f64>, now: Instant) {
+        self.pacer.set_rate(rate, now);
+        self.start_runs(now);
+    }
+
     /// Sets the time until the large answers that wait at this host have been sent.
     pub fn set_link_wait(&mut self, link_wait: Duration) {
         self.link_wait = link_wait;
@@ -291,6 +306,7 @@
             self.refuse(id, ErrorKind::DeadlineQueued, now);
         }
         self.retry_due_claims(now);
+        self.start_runs(now);
         while let Some((deadline, run)) = self.run_deadlines.first().copied() {
             if deadline > now {
                 break;
@@ -315,7 +331,8 @@
             .retention_deadlines
             .first()
             .map(|(deadline, _)| *deadline);
-        [self.queue.next_deadline(), runs, claims, retention]
+        let queued = self.queue.next_deadline();
+        [queued, runs, claims, retention, self.paused_until]
             .into_iter()
             .flatten()
             .min()
@@ -384,7 +401,7 @@
             expected_wait: self.expected_wait(level, now),
             waiting: self.queue.len(),
             running: self.limiter.running(),
-            slots: self.limiter.allowed(),
+            slots: self.usable_slots(),
         };
         self.actions
             .push(OwnerAction::RecordRefusal(Box::new(refusal)));
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -23,6 +23,7 @@
 use crate::QueuedCall;
 use crate::RunId;
 use crate::RunRequest;
+use crate::SlotRule;
 
 /// Time after its deadline for which a keyed call may keep running, so that a retry with the
 /// same key finds the answer.
@@ -38,6 +39,8 @@
 const MIN_OCCUPANCY_S: f64 = 0.001;
 /// Lower bound of the fraction of freed slots that a level is estimated to get.
 const MIN_SLOT_SHARE: f64 = 0.05;
+/// Runs that an owner starts before the first answer of its backend server.
+const UNKNOWN_BACKEND_RUNS: u32 = 4;
 /// At most one slot in this many may be reserved.
 const RESERVED_SLOTS_DIVISOR: u32 = 4;
 
@@ -59,7 +62,7 @@
             due: due_time_of(call, now),
             deadline: latest_start,
         };
-        let has_free_slot = self.queue.is_empty() && self.may_run(queued.level);
+        let has_free_slot = self.queue.is_empty() && self.may_run(queued.level, now);
         let slot_wait = if has_free_slot {
             Duration::ZERO
         } else {
@@ -135,6 +138,10 @@
         let ahead = self.queue.queued_up_to(level) as f64 + 1.0;
         let slots = f64::from(self.limiter.allowed().max(1));
         let freed_per_s = slots / self.occupancy.mean().as_secs_f64().max(MIN_OCCUPANCY_S);
+        let freed_per_s = self
+            .pacer
+            .rate()
+            .map_or(freed_per_s, |rate| rate.min(freed_per_s));
         let urgent_per_s = self.start_rates.more_urgent_rate(level, now);
         let available_per_s = (freed_per_s - urgent_per_s).max(freed_per_s * MIN_SLOT_SHARE);
         Duration::from_secs_f64(ahead / available_per_s)
@@ -145,7 +152,7 @@
         let mut waits = [Duration::ZERO; RankLevel::COUNT];
         for (index, wait) in (0..).zip(&mut waits) {
             let level = RankLevel::new(index);
-            if !self.queue.is_empty() || !self.may_run(level) {
+            if !self.queue.is_empty() || !self.may_run(level, now) {
                 *wait = self.expected_wait(level, now);
             }
         }
@@ -169,7 +176,7 @@
     /// an overload of the most urgent level would run on the reserved slots and leave the
     /// other levels less than their shares.
     pub(crate) fn least_urgent_runnable_level(&self) -> Option<RankLevel> {
-        let free = self.limiter.free();
+        let free = self.free_slots();
         let reserved = self
             .settings
             .reserved_slots
@@ -183,15 +190,44 @@
         }
     }
 
+    /// Slots in which runs may start. An owner that has just started doesn't know yet whether its
+    /// backend server names a limit.
+    fn free_slots(&self) -> u32 {
+        let free = self.limiter.free();
+        if self.backend_known || self.settings.slot_rule == SlotRule::Adaptive {
+            return free;
+        }
+        free.min(UNKNOWN_BACKEND_RUNS.saturating_sub(self.limiter.running()))
+    }
+
     /// Whether a call of this level may start a run now.
-    pub(crate) fn may_run(&self, level: RankLevel) -> bool {
-        self.least_urgent_runnable_level()
-            .is_some_and(|least_urgent| level <= least_urgent)
+    pub(crate) fn may_run(&self, level: RankLevel, now: Instant) -> bool {
+        let has_slot = self
+            .least_urgent_runnable_level()
+            .is_some_and(|least_urgent| level <= least_urgent);
+        has_slot && self.pacer.allows_start(now)
     }
 
-    /// Starts queued calls as long as slots are free.
+    /// Slots that can be in use: those allowed, or as many as the limit on starts keeps busy.
+    pub(crate) fn usable_slots(&self) -> u32 {
+        let allowed = self.limiter.allowed();
+        self.pacer.rate().map_or(allowed, |rate| {
+            let busy = rate * self.occupancy.mean().as_secs_f64();
+            allowed.min((busy.ceil() as u32).max(1))
+        })
+    }
+
+    /// Starts queued calls as long as slots are free and the limit on starts allows it.
     pub(crate) fn start_runs(&mut self, now: Instant) {
+        self.paused_until = None;
         while let Some(least_urgent) = self.least_urgent_runnable_level() {
+            if self.queue.is_empty() {
+                break;
+            }
+            if let Some(next_start) = self.pacer.next_start(now) {
+                self.paused_until = Some(next_start);
+                break;
+            }
             let Some(id) = self.queue.pop(least_urgent) else {
                 break;
             };
@@ -224,6 +260,7 @@
         self.occupancy.record_start(run, now);
         let level = RankLevel::new(dispatch.rank.min(7) as u8);
         self.start_rates.record(level, now);
+        self.pacer.record_start(now);
         self.runs.insert(run, id);
         self.run_deadlines.insert((deadline, run));
         self.actions.push(OwnerAction::Run(Box::new(RunRequest {
@@ -242,6 +279,7 @@
         if let Some(call) = self.calls.get_mut(&id) {
             call.occupancy = self.occupancy.record_end(run, &call.dispatch.route, now);
         }
+        self.backend_known |= result.is_response();
         match result {
             BackendResult::Answered { .. } => self.limiter.release_answered(),
             BackendResult::Shed => self.limiter.release_shed(now),
--- a/crates/sequoiagw-policy/tests/overload.rs
+++ b/crates/sequoiagw-policy/tests/overload.rs
@@ -70,14 +70,29 @@
     factor: 1,
 };
 
+/// A limit on the starts at the target, in runs per second, from the first second on.
+type StartLimit = Option<f64>;
+
 /// Offers the loads to one target for some seconds. Calls of the first second aren't counted.
 fn simulate(loads: &[OfferedLoad], seconds: u64) -> Vec<LoadResult> {
-    simulate_slowdown(loads, seconds, NO_SLOWDOWN)
+    simulate_target(loads, seconds, NO_SLOWDOWN, None).0
 }
 
 /// Like [`simulate`], with a target that turns slow.
 fn simulate_slowdown(loads: &[OfferedLoad], seconds: u64, slowdown: Slowdown) -> Vec<LoadResult> {
+    simulate_target(loads, seconds, slowdown, None).0
+}
+
+/// Like [`simulate`], with a target that turns slow or names a limit; also returns the times of all
+/// starts.
+fn simulate_target(
+    loads: &[OfferedLoad],
+    seconds: u64,
+    slowdown: Slowdown,
+    limit: StartLimit,
+) -> (Vec<LoadResult>, Vec<Duration>) {
     let mut owner = new_owner();
+    let mut starts = Vec::new();
     let start = Instant::now();
     let mut results = vec![LoadResult::default(); loads.len()];
     let mut open: BTreeMap<u64, OpenCall> = BTreeMap::new();
@@ -85,6 +100,9 @@
     let mut last_call = 0;
     for elapsed_ms in 0..seconds * 1000 {
         let now = start + Duration::from_millis(elapsed_ms);
+        if elapsed_ms == 1000 {
+            owner.set_start_rate(limit, now);
+        }
         for (load_index, load) in loads.iter().enumerate() {
             if elapsed_ms % load.interval_ms == 0 {
                 last_call += 1;
@@ -116,6 +134,7 @@
         for action in owner.take_actions() {
             match action {
                 OwnerAction::Run(request) => {
+                    starts.push(now - start);
                     let route = request.dispatch.route.as_str();
                     let load = loads.iter().find(|load| load.route == route);
                     let run_ms = load.expect("load of this route").run_ms;
@@ -152,7 +171,7 @@
             }
         }
     }
-    results
+    (results, starts)
 }
 
 fn dispatch_of(load: &OfferedLoad, call: u64) -> CallDispatch {
@@ -365,3 +384,77 @@
         "no call must be refused: {results:?}"
     );
 }
+
+/// Most starts within any span of `window` that begins at `from` or later.
+fn most_starts(starts: &[Duration], from: Duration, window: Duration) -> usize {
+    let later = || starts.iter().filter(|start| **start >= from);
+    later()
+        .map(|first| {
+            later()
+                .filter(|start| **start >= *first && **start < *first + window)
+                .count()
+        })
+        .max()
+        .unwrap_or(0)
+}
+
+#[test]
+fn target_that_names_a_limit_gets_no_more_calls_and_still_serves_as_many_in_time() {
+    const LIMIT: f64 = 18.0;
+    let (results, starts) = simulate_target(&[LONG_CALL_OVERLOAD], 12, NO_SLOWDOWN, Some(LIMIT));
+    let window = Duration::from_secs(4);
+    let most = most_starts(&starts, Duration::from_secs(1), window);
+    let allowed = 1.5 * LIMIT * window.as_secs_f64() + 5.0;
+    assert!(most as f64 <= allowed, "{most} starts of {allowed} allowed");
+    let result = results[0];
+    assert!(
+        f64::from(result.served) > 0.9 * LIMIT * 10.0,
+        "the limit must be used: {result:?}"
+    );
+    assert!(
+        share(result.served_in_time, result.served) > 0.95,
+        "served calls must meet their latency target: {result:?}"
+    );
+    assert!(
+        share(result.refused_early, result.refused) > 0.95,
+        "excess calls must be refused early: {result:?}"
+    );
+}
+
+#[test]
+fn restarted_owner_keeps_a_low_limit_that_it_learns_from_the_first_answer() {
+    const LIMIT: f64 = 1.0;
+    let mut owner = new_owner();
+    let start = Instant::now();
+    let mut starts = 0;
+    for call in 0..u64::from(SLOTS) {
+        owner.on_dispatch(
+            NodeId::from(1),
+            1,
+            dispatch_of(&LONG_CALL_OVERLOAD, call),
+            start,
+        );
+    }
+    for elapsed_ms in 0..4000 {
+        let now = start + Duration::from_millis(elapsed_ms);
+        owner.on_tick(now);
+        for action in owner.take_actions() {
+            let OwnerAction::Run(request) = action else {
+                continue;
+            };
+            starts += 1;
+            owner.set_start_rate(Some(LIMIT), now);
+            let answered = BackendResult::Answered {
+                status: 200,
+                headers: Vec::new(),
+                body: Bytes::new(),
+            };
+            owner.on_result(request.run, answered, now);
+        }
+    }
+    let allowed = 1.5 * LIMIT * 4.0 + 5.0;
+    assert!(
+        f64::from(starts) <= allowed,
+        "{starts} of {allowed} allowed"
+    );
+}
