Withdraw a backend server that says in an answer that it leaves

A backend server that leaves may say so first in its answers; its heartbeat can be late or lost, or still say that it is ready. Until then requests went on reaching it, longer than the drain timeout.

Cause: the header wasn't read. Class: as for the limit, a statement of a backend server that no decision takes as input.

The owner, through which all requests go, stops with the first such answer, as with a leave notice: later heartbeats of that process don't bring it back, and the registration in the store tells the next process of the node.

--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -198,12 +198,15 @@
         }
         let names = &self.header_names;
         let request_limit = response.header(names.request_limit).and_then(parse_limit);
-        if request_limit.is_none() && response.header(names.signature).is_none() {
+        let leaving = response.header(names.leaving).is_some();
+        let is_signed = response.header(names.signature).is_some();
+        if request_limit.is_none() && !leaving && !is_signed {
             return;
         }
         let notice = BackendNotice {
             instance: instance.to_owned(),
             request_limit,
+            leaving,
         };
         let mut state = self.state.borrow_mut();
         if state.last_notice.as_ref() != Some(&notice) {
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -271,10 +271,22 @@
         let current = self.target.incarnation();
         if current.is_some_and(|current| current.instance == notice.instance) {
             self.set_request_limit(notice.request_limit, now);
+            if notice.leaving {
+                self.on_leaving_response(&notice.instance, now);
+            }
         }
         self.process_actions(now);
     }
 
+    /// Withdraws the backend server's slots, since a response says that it is leaving.
+    fn on_leaving_response(&mut self, instance: &str, now: Instant) {
+        if self.target.on_leaving_response() {
+            info!(event = "backend_leaves", instance, stated_in = "response");
+            self.actions.push(MeshAction::RegistrationChanged);
+            self.update_slot_offer(now);
+        }
+    }
+
     /// Limits the requests per second that the backend server gets; `None` removes the limit.
     fn set_request_limit(&mut self, limit: Option<f64>, now: Instant) {
         if limit == self.request_limit {
--- a/crates/sequoiagw-mesh/src/platform_format.rs
+++ b/crates/sequoiagw-mesh/src/platform_format.rs
@@ -23,6 +23,8 @@
     pub not_run: &'static str,
     /// Requests per second that a backend server takes from all nodes together.
     pub request_limit: &'static str,
+    /// Set by a backend server that is leaving.
+    pub leaving: &'static str,
     /// Service that sent a request.
     pub caller_service: &'static str,
 }
--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -162,6 +162,16 @@
         }
     }
 
+    /// Handles a response in which the current incarnation says that it is leaving; returns whether
+    /// that is new.
+    pub fn on_leaving_response(&mut self) -> bool {
+        let Some(current) = self.current.as_mut().filter(|current| !current.leaving) else {
+            return false;
+        };
+        current.leaving = true;
+        true
+    }
+
     /// Extends the heartbeat deadline, since an answer to a request shows that the backend server
     /// is running.
     pub fn on_answer(&mut self, now: Instant) {
--- a/crates/sequoiagw-mesh/tests/number_format/mod.rs
+++ b/crates/sequoiagw-mesh/tests/number_format/mod.rs
@@ -20,6 +20,7 @@
     expected_instance: "Instance",
     not_run: "Not-Run",
     request_limit: "Limit",
+    leaving: "Leaving",
     caller_service: "Service",
 };
 
--- a/crates/sequoiagw-node/src/backend_notice.rs
+++ b/crates/sequoiagw-node/src/backend_notice.rs
@@ -7,4 +7,6 @@
     pub instance: String,
     /// Requests per second that it takes from all nodes together; `None` without a limit.
     pub request_limit: Option<f64>,
+    /// Whether it is leaving and takes no new work.
+    pub leaving: bool,
 }
