--- a/crates/sequoiagw-telemetry/src/request_trace.rs
+++ b/crates/sequoiagw-telemetry/src/request_trace.rs
@@ -24,6 +24,8 @@
     "store_regained",
     "slots_offered",
     "backend_leaves",
+    "request_limit_changed",
+    "watchers_lost",
     "leave_started",
     "node_started",
 ];
