--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -9,6 +9,7 @@
 mod core_actions;
 mod core_directory;
 mod core_frames;
+mod core_target;
 mod core_versions;
 mod fleet_directory;
 mod local_server;
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -9,7 +9,6 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
-use sequoiagw_node::BackendNotice;
 use sequoiagw_node::NodeCounters;
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::CallRequest;
@@ -20,17 +19,12 @@
 use sequoiagw_policy::OwnerSettings;
 use sequoiagw_policy::RefusedCallers;
 use sequoiagw_policy::RunId;
-use sequoiagw_policy::SlotRule;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
-use sequoiagw_telemetry::REQUEST_LOG_TARGET;
 use tokio::time::Instant;
-use tracing::info;
 
 use crate::FleetDirectory;
-use crate::Heartbeat;
-use crate::HeartbeatOutcome;
 use crate::MeshAction;
 use crate::MeshRoute;
 use crate::MeshSettings;
@@ -40,8 +34,6 @@
 use crate::TrafficSplitter;
 use crate::WatcherMonitor;
 
-/// Calls that may wait in a target's queue for each of its slots.
-const QUEUED_CALLS_PER_SLOT: u32 = 20;
 /// Fraction of the allowed retry ratio that nodes use. Retried runs make their calls again, and
 /// these calls count as retries at the service that receives them. There they can be as many as the
 /// service's own requests.
@@ -254,62 +246,6 @@
         self.settings.retry_budget.ratio * RETRY_RATIO_FRACTION
     }
 
-    /// Handles a heartbeat of the backend server.
-    pub fn on_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) -> HeartbeatOutcome {
-        let previous = self.target.incarnation().cloned();
-        let outcome = self.target.on_heartbeat(heartbeat, now);
-        if self.target.incarnation() != previous.as_ref() {
-            self.set_request_limit(None, now);
-        }
-        self.update_slot_offer(now);
-        outcome
-    }
-
-    /// Handles what the backend server says of itself in a response. A response of an earlier
-    /// process than the current one is ignored.
-    pub fn on_backend_notice(&mut self, notice: &BackendNotice, now: Instant) {
-        let current = self.target.incarnation();
-        if current.is_some_and(|current| current.instance == notice.instance) {
-            self.set_request_limit(notice.request_limit, now);
-            if notice.leaving {
-                self.on_leaving_response(&notice.instance, now);
-            }
-        }
-        self.process_actions(now);
-    }
-
-    /// Withdraws the backend server's slots, since a response says that it is leaving.
-    fn on_leaving_response(&mut self, instance: &str, now: Instant) {
-        if self.target.on_leaving_response() {
-            info!(event = "backend_leaves", instance, stated_in = "response");
-            self.actions.push(MeshAction::RegistrationChanged);
-            self.update_slot_offer(now);
-        }
-    }
-
-    /// Limits the requests per second that the backend server gets; `None` removes the limit.
-    fn set_request_limit(&mut self, limit: Option<f64>, now: Instant) {
-        if limit == self.request_limit {
-            return;
-        }
-        info!(
-            target: REQUEST_LOG_TARGET,
-            event = "request_limit_changed",
-            per_s = limit,
-            before_per_s = self.request_limit
-        );
-        self.counters.count("backend.limit_changed");
-        self.request_limit = limit;
-        self.owner.set_start_rate(limit, now);
-    }
-
-    /// Handles a leave notice of the backend server; `unix_ms` is the time at which the notice
-    /// arrived, by the host's clock.
-    pub fn on_leave_notice(&mut self, instance: &str, unix_ms: u64, now: Instant) {
-        self.target.on_leave_notice(instance, unix_ms);
-        self.update_slot_offer(now);
-    }
-
     /// Handles the result of a run at the backend server.
     pub fn on_run_finished(&mut self, run: RunId, result: BackendResult, now: Instant) {
         if matches!(result, BackendResult::Answered { .. }) {
@@ -367,34 +303,4 @@
     pub fn refuses_callers(&self) -> bool {
         self.refusing_callers
     }
-
-    /// Offers the backend server's slots to the fleet, or withdraws them when it accepts no work.
-    pub(crate) fn update_slot_offer(&mut self, now: Instant) {
-        let slots = self.target.serving(now).map_or(0, |(_, slots)| slots);
-        if slots == self.offered_slots {
-            return;
-        }
-        info!(event = "slots_offered", slots, before = self.offered_slots);
-        self.offered_slots = slots;
-        let service = match slots {
-            0 => String::new(),
-            _ => self.settings.backend.service.clone(),
-        };
-        let owner_settings = OwnerSettings {
-            service,
-            slots,
-            queue_limit: (slots * QUEUED_CALLS_PER_SLOT) as usize,
-            slot_rule: SlotRule::Fixed,
-            ..OwnerSettings::default()
-        };
-        self.owner.reconfigure(owner_settings, now);
-        if slots == 0 {
-            self.owner.refuse_queued(now);
-        }
-        self.actions.push(MeshAction::RegistrationChanged);
-        if self.store_access == StoreAccess::Bypassed {
-            self.announce_registration(now);
-        }
-        self.process_actions(now);
-    }
 }
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -19,6 +19,8 @@
 mod owner_call;
 mod owner_keys;
 mod owner_machine;
+mod owner_records;
+mod owner_reports;
 mod owner_runs;
 mod owner_settings;
 mod placement_rule;
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -5,15 +5,12 @@
 use std::collections::HashSet;
 use std::time::Duration;
 
-use sequoiagw_protocol::CallAnswer;
 use sequoiagw_protocol::CallDispatch;
 use sequoiagw_protocol::CallOutcome;
 use sequoiagw_protocol::CallQuery;
 use sequoiagw_protocol::ErrorKind;
-use sequoiagw_protocol::LoadReport;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PendingAnswer;
-use sequoiagw_protocol::RankLevel;
 use tokio::time::Instant;
 
 use crate::owner_call::scoped_key;
@@ -27,7 +24,6 @@
 use crate::OwnerAction;
 use crate::OwnerSettings;
 use crate::RankQueue;
-use crate::RefusalRecord;
 use crate::RunId;
 use crate::SlotLimiter;
 use crate::StartPacer;
@@ -35,14 +31,6 @@
 
 /// Time for which an outcome is kept, so that an entry can query it after losing its link.
 const OUTCOME_RETENTION: Duration = Duration::from_secs(3);
-/// Time after a call's deadline for which the owner remembers that it received the call.
-///
-/// Entries stop querying shortly after the deadline. A query for a call whose id was dropped
-/// earlier would fence the call and report it as not run.
-const CALL_ID_RETENTION: Duration = Duration::from_secs(60);
-/// Time for which a call stays fenced.
-const FENCE_RETENTION: Duration = Duration::from_secs(20 * 60);
-
 /// State machine of a target's owner: admission, queueing, runs, outcomes and fences.
 #[derive(Debug)]
 pub struct OwnerMachine {
@@ -138,23 +126,6 @@
         &self.settings
     }
 
-    /// Load report sent with each answer.
-    pub fn load(&self, now: Instant) -> LoadReport {
-        LoadReport {
-            running: self.limiter.running(),
-            slots: self.usable_slots(),
-            waiting: self.queue.len() as u32,
-            open_levels: if self.draining {
-                0
-            } else {
-                self.queue.open_levels()
-            },
-            occupancy_ms: self.occupancy.mean().as_millis() as u32,
-            waits: LoadReport::pack_waits(self.expected_waits(now)),
-            link_wait_ms: self.link_wait.as_millis() as u32,
-        }
-    }
-
     /// Limits the rate at which runs start, in runs per second; `None` removes the limit.
     pub fn set_start_rate(&mut self, rate: Option<f64>, now: Instant) {
         self.pacer.set_rate(rate, now);
@@ -391,76 +362,6 @@
             self.finish(other, &outcome, now);
         }
     }
-
-    fn record_refusal(&mut self, dispatch: &CallDispatch, kind: ErrorKind, now: Instant) {
-        let level = RankLevel::new(dispatch.rank.min(7) as u8);
-        let refusal = RefusalRecord {
-            request_id: dispatch.request_id.clone(),
-            kind,
-            level,
-            expected_wait: self.expected_wait(level, now),
-            waiting: self.queue.len(),
-            running: self.limiter.running(),
-            slots: self.usable_slots(),
-        };
-        self.actions
-            .push(OwnerAction::RecordRefusal(Box::new(refusal)));
-    }
-
-    fn send_answer(&mut self, id: CallId, outcome: CallOutcome, now: Instant) {
-        let answer = CallAnswer {
-            call: id.call,
-            entry_boot: id.boot,
-            load: Some(self.load(now)),
-            run_ms: self
-                .calls
-                .get(&id)
-                .map_or(0, |call| ms_rounded_up(call.occupancy)),
-            wait_ms: self
-                .calls
-                .get(&id)
-                .map_or(0, |call| ms_rounded_up(call.slot_wait)),
-            remaining_ms: self.calls.get(&id).map_or(0, |call| {
-                call.deadline.saturating_duration_since(now).as_millis() as u32
-            }),
-            outcome: Some(outcome),
-        };
-        self.actions.push(OwnerAction::Answer(id.entry, answer));
-    }
-
-    /// Guarantees that a call that was never received is refused if its dispatch arrives within
-    /// [`FENCE_RETENTION`].
-    fn fence(&mut self, id: CallId, now: Instant) {
-        let until = now + FENCE_RETENTION;
-        if self.fences.insert(id, until).is_none() {
-            self.fence_expiries.insert((until, id));
-        }
-    }
-
-    fn expire_records(&mut self, now: Instant) {
-        while let Some((due, id)) = self.retention_deadlines.first().copied() {
-            if due > now {
-                break;
-            }
-            self.retention_deadlines.pop_first();
-            let Some(call) = self.calls.remove(&id) else {
-                self.finished_ids.remove(&id);
-                continue;
-            };
-            let retain_until = call.deadline + CALL_ID_RETENTION;
-            if retain_until > now {
-                self.finished_ids.insert(id);
-                self.retention_deadlines.insert((retain_until, id));
-            }
-        }
-        while let Some((until, id)) = self.fence_expiries.first().copied() {
-            if until > now {
-                break;
-            }
-            self.fence_expiries.pop_first();
-            self.fences.remove(&id);
-        }
-    }
 }
 
 fn mark_replayed(outcome: CallOutcome) -> CallOutcome {
@@ -472,8 +373,3 @@
         other => other,
     }
 }
-
-/// Milliseconds rounded up, so that only a zero duration gives 0.
-fn ms_rounded_up(time: Duration) -> u32 {
-    time.as_micros().div_ceil(1000) as u32
-}
