--- a/crates/sequoiagw-soak/src/guarantee_checker.rs
+++ b/crates/sequoiagw-soak/src/guarantee_checker.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::fmt;
+use std::time::Duration;
 
 use sequoiagw_platform_standins::BackendRun;
 use sequoiagw_platform_standins::CallerOutcome;
@@ -23,6 +24,8 @@
     Revert,
     /// A draining backend server gets no new request once the drain limit has passed.
     LateWork,
+    /// A backend server gets no more requests than the limit that it names allows.
+    OverLimit,
     /// Every request gets an outcome, and every process that is told to stop exits in time.
     Stuck,
     /// After the last fault, the newest configuration version takes effect on all nodes in time.
@@ -39,6 +42,7 @@
     (GuaranteeKind::CutRequest, "cut_requests"),
     (GuaranteeKind::Revert, "reverts"),
     (GuaranteeKind::LateWork, "late_work"),
+    (GuaranteeKind::OverLimit, "over_limit"),
     (GuaranteeKind::Stuck, "stuck"),
     (GuaranteeKind::Behind, "behind"),
     (GuaranteeKind::Ended, "ended"),
@@ -64,6 +68,25 @@
     }
 }
 
+/// Time for which a backend server names a limit before it must be kept.
+const LIMIT_GRACE: Duration = Duration::from_secs(3);
+/// Time within which requests are counted against a limit.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Requests that may arrive in a window, relative to the limit.
+const LIMIT_RATIO: f64 = 1.5;
+/// Requests that may arrive in a window beyond that.
+const LIMIT_EXTRA: f64 = 5.0;
+
+/// A limit that a backend server named for a time.
+#[derive(Clone, Copy, Debug)]
+pub struct NamedLimit {
+    pub node: usize,
+    /// Requests per second.
+    pub per_s: f64,
+    pub from: Instant,
+    pub until: Instant,
+}
+
 /// A finished call as its caller observed it.
 #[derive(Clone, Debug)]
 pub struct CallRecord {
@@ -158,6 +181,42 @@
         }
     }
 
+    /// Checks the runs of one backend server against a limit that it named. Each incarnation counts
+    /// on its own, from [`LIMIT_GRACE`] after its first run under the limit.
+    pub fn check_limit(&mut self, limit: NamedLimit, runs: &[BackendRun]) {
+        let mut arrivals: BTreeMap<u64, Vec<Instant>> = BTreeMap::new();
+        for run in runs {
+            if (limit.from..limit.until).contains(&run.at) {
+                arrivals.entry(run.incarnation).or_default().push(run.at);
+            }
+        }
+        let allowed = LIMIT_RATIO * limit.per_s * LIMIT_WINDOW.as_secs_f64() + LIMIT_EXTRA;
+        for times in arrivals.values_mut() {
+            times.sort_unstable();
+            let binding_from = times[0] + LIMIT_GRACE;
+            let bound: Vec<Instant> = times
+                .iter()
+                .copied()
+                .filter(|at| *at >= binding_from)
+                .collect();
+            let most = bound
+                .iter()
+                .map(|first| {
+                    bound
+                        .iter()
+                        .filter(|at| (*first..*first + LIMIT_WINDOW).contains(at))
+                        .count()
+                })
+                .max()
+                .unwrap_or(0);
+            if most as f64 > allowed {
+                let subject = format!("node {}", limit.node);
+                let detail = format!("arrived={most} allowed={allowed}");
+                self.add_violation(GuaranteeKind::OverLimit, &subject, &detail);
+            }
+        }
+    }
+
     /// Violations found so far.
     pub fn violations(&self) -> &[GuaranteeViolation] {
         &self.violations
--- a/crates/sequoiagw-soak/src/lib.rs
+++ b/crates/sequoiagw-soak/src/lib.rs
@@ -16,6 +16,7 @@
 pub use guarantee_checker::GuaranteeChecker;
 pub use guarantee_checker::GuaranteeKind;
 pub use guarantee_checker::GuaranteeViolation;
+pub use guarantee_checker::NamedLimit;
 pub use soak_fleet::run_address;
 pub use soak_run::run_soak;
 pub use soak_run::SoakOptions;
--- a/crates/sequoiagw-soak/src/soak_run.rs
+++ b/crates/sequoiagw-soak/src/soak_run.rs
@@ -22,6 +22,7 @@
 use crate::fault_plan::ScheduledFault;
 use crate::guarantee_checker::GuaranteeChecker;
 use crate::guarantee_checker::GuaranteeKind;
+use crate::guarantee_checker::NamedLimit;
 use crate::guarantee_checker::GUARANTEES;
 use crate::loopback_proxy::ProxyMode;
 use crate::node_process::wait_for_exit;
@@ -37,6 +38,8 @@
 const ACTIVATION_TIMEOUT: Duration = Duration::from_secs(7);
 /// Time for which a backend server may get new requests after its leave notice was acknowledged.
 const DRAIN_LIMIT: Duration = Duration::from_secs(2);
+/// Limit that a backend server names for a time, in requests per second.
+const REQUEST_LIMIT: f64 = 3.0;
 /// Number of callers at each node.
 const CALLERS_PER_NODE: u64 = 2;
 /// Delay of data on links during [`FaultKind::LinkDelay`].
@@ -121,7 +124,9 @@
     let callers = start_callers(&context, options.seed);
     let fault_time = Duration::from_secs(options.seconds);
     let plan = FaultPlan::generate(options.seed, fault_time, options.nodes);
+    let limit = tokio::task::spawn_local(name_limit(context.clone(), options.seed, fault_time));
     inject_faults(&context, &plan).await;
+    let limit = limit.await?;
     check_activation(&context).await;
     context.running.set(false);
     for caller in callers {
@@ -135,6 +140,11 @@
         .flat_map(|node| node.backend.all_runs())
         .collect();
     context.checker.borrow_mut().check_runs(&runs);
+    let limited_runs = context.fleet.nodes[limit.node].backend.all_runs();
+    context
+        .checker
+        .borrow_mut()
+        .check_limit(limit, &limited_runs);
     let checker = context.checker.take();
     if checker.violations().is_empty() {
         // The logs are needed only to investigate violations.
@@ -206,6 +216,24 @@
     }
 }
 
+/// Lets one backend server name a limit for half of the run, whatever else happens to it.
+async fn name_limit(context: LoadContext, seed: u64, fault_time: Duration) -> NamedLimit {
+    let node = seed as usize % context.fleet.nodes.len();
+    let backend = context.fleet.nodes[node].backend.clone();
+    sleep(fault_time / 4).await;
+    println!("node {node}'s backend server names a limit of {REQUEST_LIMIT} a second");
+    backend.set_request_limit(Some(REQUEST_LIMIT));
+    let from = Instant::now();
+    sleep(fault_time / 2).await;
+    backend.set_request_limit(None);
+    NamedLimit {
+        node,
+        per_s: REQUEST_LIMIT,
+        from,
+        until: Instant::now(),
+    }
+}
+
 async fn inject_fault(context: &LoadContext, fault: &ScheduledFault) {
     if !fault.kind.is_planned_maintenance() {
         context.faults.begin();
--- a/crates/sequoiagw-soak/tests/guarantees.rs
+++ b/crates/sequoiagw-soak/tests/guarantees.rs
@@ -10,6 +10,7 @@
 use sequoiagw_soak::FaultPlan;
 use sequoiagw_soak::GuaranteeChecker;
 use sequoiagw_soak::GuaranteeKind;
+use sequoiagw_soak::NamedLimit;
 use tokio::time::Instant;
 
 fn answer(status: u16, body: &str) -> CallerOutcome {
@@ -152,3 +153,39 @@
     checker.record_version(1, 4, false);
     assert_eq!(violation_kinds(&checker), [GuaranteeKind::Revert]);
 }
+
+/// Runs of one incarnation at a constant rate.
+fn steady_runs(from: Instant, per_s: u64, seconds: u64, incarnation: u64) -> Vec<BackendRun> {
+    let run = |index| BackendRun {
+        id: format!("{incarnation}-{index}"),
+        at: from + Duration::from_secs(1) / per_s as u32 * index,
+        incarnation,
+    };
+    (0..(per_s * seconds) as u32).map(run).collect()
+}
+
+#[test]
+fn reports_a_backend_server_that_gets_more_than_its_limit_once_the_limit_binds() {
+    let from = Instant::now();
+    let limit = NamedLimit {
+        node: 0,
+        per_s: 4.0,
+        from,
+        until: from + Duration::from_secs(20),
+    };
+    let violations_of = |runs: &[BackendRun]| {
+        let mut checker = GuaranteeChecker::default();
+        checker.check_limit(limit, runs);
+        violation_kinds(&checker)
+    };
+    assert!(violations_of(&steady_runs(from, 6, 15, 1)).is_empty());
+    assert_eq!(
+        violations_of(&steady_runs(from, 10, 15, 1)),
+        [GuaranteeKind::OverLimit]
+    );
+    // The first three seconds are free, for each incarnation anew.
+    let later = from + Duration::from_secs(10);
+    let mut restarted = steady_runs(from, 10, 3, 1);
+    restarted.extend(steady_runs(later, 10, 3, 2));
+    assert!(violations_of(&restarted).is_empty());
+}
