Pass a version on to other data centres also when the neighbour was quicker

A watcher passed a version on to the watchers of its position in other data centres only if the store told it first. Class: redundancy that depends on a race.

A watcher now also passes on what the other watcher of its data centre sends; what comes from another data centre isn't passed on, so nothing circulates. The test failed before (0 of 1 frames) and passes. Cost: at most twice the deltas between data centres.

--- a/crates/sequoiagw-mesh/src/core_versions.rs
+++ b/crates/sequoiagw-mesh/src/core_versions.rs
@@ -76,8 +76,14 @@
         self.process_actions(now);
     }
 
-    /// Sends a delta that came from the store to one watcher of each other data centre, in case
-    /// that data centre can't reach the store. The receiver has the same position among the
+    fn is_in_own_data_centre(&self, node: NodeId) -> bool {
+        self.directory
+            .registered_in(&self.settings.data_centre)
+            .any(|registered| registered == node)
+    }
+
+    /// Sends a delta that came from the store, or from the other watcher, to one watcher of each
+    /// other data centre, in case that data centre can't reach the store. The receiver has the same position among the
     /// watchers of its data centre as this node has here, so that each receives it only once.
     ///
     /// Whole versions aren't sent, since they aren't worth the load on the links between data
@@ -112,6 +118,9 @@
         match MeshVersion::apply(self.active_version.as_deref(), delta) {
             Ok(version) => {
                 self.activate_version(&Rc::new(version), now);
+                if self.is_watcher() && self.is_in_own_data_centre(from) {
+                    self.send_to_remote_watchers(delta, now);
+                }
             }
             Err(DeltaError::BaseMismatch { .. }) => self.request_version(from),
             Err(error @ DeltaError::DigestMismatch { .. }) => {
--- a/crates/sequoiagw-mesh/tests/mesh_core.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core.rs
@@ -7,6 +7,7 @@
 
 use sequoiagw_mesh::MeshAction;
 use sequoiagw_mesh::MeshCore;
+use sequoiagw_mesh::NodeRegistration;
 use sequoiagw_node::NodeCounters;
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
@@ -170,3 +171,46 @@
         "{own_ratio} and {ratio_from_runs} must stay within {allowed_ratio}"
     );
 }
+
+/// Registration of a node with a wide link in the data centre `south`.
+fn southern_registration(name: &str, number: u8) -> NodeRegistration {
+    NodeRegistration {
+        address: format!("10.0.1.{number}:7000"),
+        data_centre: "south".to_owned(),
+        ..registration(name, BOOT)
+    }
+}
+
+/// Number of frames with a delta to nodes in the data centre `south`.
+fn told_southern_nodes(frames: &[(NodeAddress, PeerFrame)]) -> usize {
+    let is_delta = |frame: &PeerFrame| matches!(&frame.body, Some(FrameBody::VersionDelta(_)));
+    frames
+        .iter()
+        .filter(|(to, frame)| is_delta(frame) && to.to_string().starts_with("10.0.1."))
+        .count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn watcher_told_by_its_neighbour_first_still_tells_the_other_data_centres() {
+    let now = Instant::now();
+    let version_one = Rc::new(version(1));
+    let version_two = version(2);
+    let delta = version_two.delta_from(Some(&version_one));
+    for (own, neighbour) in [("a", "b"), ("b", "a")] {
+        let mut core = MeshCore::new(settings(own), BOOT, NodeCounters::default());
+        let mut registrations: Vec<_> = NODES
+            .iter()
+            .map(|node| (registration(node, BOOT), 5))
+            .collect();
+        registrations.push((southern_registration("s", 1), 5));
+        registrations.push((southern_registration("t", 2), 5));
+        core.on_registrations(registrations, now);
+        core.activate_from_store(&version_one, now);
+        core.take_actions();
+        let body = FrameBody::VersionDelta(delta.clone());
+        let frame = PeerFrame::new(NodeId::from_name(neighbour), BOOT, body);
+        core.on_frame(frame, 50, now);
+        assert_eq!(core.active_version_number(), 2);
+        assert_eq!(told_southern_nodes(&take_frames(&mut core)), 1, "{own}");
+    }
+}
