--- a/crates/sequoiagw-mesh/src/registration_sync.rs
+++ b/crates/sequoiagw-mesh/src/registration_sync.rs
@@ -107,6 +107,8 @@
     /// When the last digest of each watcher arrived that had the store. A watcher that has lost
     /// the store has none.
     last_digests: HashMap<NodeId, Instant>,
+    /// When the newest of these digests arrived, also of a watcher that has lost the store since.
+    newest_digest: Option<Instant>,
     /// End of the startup grace, `None` once a digest has arrived.
     grace_end: Option<Instant>,
     /// Since when the watchers' digest has differed from this node's.
@@ -127,10 +129,10 @@
         }
     }
 
-    /// Time since the last digest of a watcher that has the store, zero during the startup grace.
+    /// Time since a watcher that had the store sent a digest, zero before the first one.
     pub fn silent_time(&self, now: Instant) -> Duration {
-        self.last_digest().map_or(Duration::ZERO, |last_digest| {
-            now.saturating_duration_since(last_digest)
+        self.newest_digest.map_or(Duration::ZERO, |newest_digest| {
+            now.saturating_duration_since(newest_digest)
         })
     }
 
@@ -151,6 +153,7 @@
         self.last_digests.insert(watcher, now);
         self.last_digests
             .retain(|_, last_digest| now < *last_digest + DIGEST_TIMEOUT);
+        self.newest_digest = Some(now);
         self.grace_end = None;
         if digest == own_digest {
             self.mismatch_since = None;
--- a/crates/sequoiagw-mesh/tests/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/tests/fleet_directory.rs
@@ -161,3 +161,18 @@
     watchers.schedule_version_read(at(2000));
     assert!(watchers.take_pending_version_read(at(2000)));
 }
+
+#[tokio::test(start_paused = true)]
+async fn watcher_that_lost_the_store_no_longer_counts_and_its_silence_is_still_told() {
+    let start = Instant::now();
+    let at = |millis| start + Duration::from_millis(millis);
+    let [first, second] = ["a", "b"].map(NodeId::from_name);
+    let mut watchers = WatcherMonitor::with_startup_grace(start);
+    watchers.on_digest(first, 1, 1, at(100));
+    watchers.on_digest(second, 1, 1, at(200));
+    watchers.on_store_lost(first);
+    assert!(!watchers.is_unresponsive(at(600)), "the second one is left");
+    watchers.on_store_lost(second);
+    assert!(watchers.is_unresponsive(at(600)));
+    assert_eq!(watchers.silent_time(at(600)), Duration::from_millis(400));
+}
