--- a/crates/sequoiagw-mesh/src/core_versions.rs
+++ b/crates/sequoiagw-mesh/src/core_versions.rs
@@ -83,8 +83,9 @@
     }
 
     /// Sends a delta that came from the store, or from the other watcher, to one watcher of each
-    /// other data centre, in case that data centre can't reach the store. The receiver has the same position among the
-    /// watchers of its data centre as this node has here, so that each receives it only once.
+    /// other data centre, in case that data centre can't reach the store. The receiver has the
+    /// same position among the watchers of its data centre as this node has here, so that each
+    /// receives it only once.
     ///
     /// Whole versions aren't sent, since they aren't worth the load on the links between data
     /// centres.
