Start calls held back by a limit at once when the limit ends

A limit that ended with a new process of the backend server left the held calls queued until the next event of the node: the actions of the starts were taken only where an answer ended the limit. Class: a state change whose actions are left to the caller.

The test calls_held_back_by_a_limit_start_at_once_when_another_process_takes_over failed before (0 of 3 runs start) and passes now. The actions are processed where the limit changes.

--- a/crates/sequoiagw-mesh/src/core_target.rs
+++ b/crates/sequoiagw-mesh/src/core_target.rs
@@ -38,7 +38,6 @@
                 self.on_leaving_response(&notice.instance, now);
             }
         }
-        self.process_actions(now);
     }
 
     /// Withdraws the backend server's slots, since a response says that it is leaving.
@@ -64,6 +63,7 @@
         self.counters.count("backend.limit_changed");
         self.request_limit = limit;
         self.owner.set_start_rate(limit, now);
+        self.process_actions(now);
     }
 
     /// Handles a leave notice of the backend server; `unix_ms` is the time at which the notice
--- a/crates/sequoiagw-mesh/tests/mesh_core.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core.rs
@@ -5,9 +5,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use sequoiagw_mesh::Heartbeat;
+use sequoiagw_mesh::HeartbeatPhase;
 use sequoiagw_mesh::MeshAction;
 use sequoiagw_mesh::MeshCore;
 use sequoiagw_mesh::NodeRegistration;
+use sequoiagw_node::BackendNotice;
 use sequoiagw_node::NodeCounters;
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
@@ -214,3 +217,44 @@
         assert_eq!(told_southern_nodes(&take_frames(&mut core)), 1, "{own}");
     }
 }
+
+/// A heartbeat of the backend server next to node `a`.
+fn heartbeat(born_ms: u64) -> Heartbeat {
+    Heartbeat {
+        instance: format!("i-{born_ms}"),
+        born_ms: Some(born_ms),
+        sequence: 1,
+        service: "press".to_owned(),
+        address: settings("a").backend.address.to_string(),
+        slots: 12,
+        phase: HeartbeatPhase::Ready,
+        warmup_left: Duration::ZERO,
+    }
+}
+
+/// Number of runs that a node starts; its other actions are dropped.
+fn take_runs(core: &mut MeshCore) -> usize {
+    let actions = core.take_actions().into_iter();
+    actions
+        .filter(|action| matches!(action, MeshAction::Run(_)))
+        .count()
+}
+
+#[tokio::test(start_paused = true)]
+async fn calls_held_back_by_a_limit_start_at_once_when_another_process_takes_over() {
+    let now = Instant::now();
+    let mut core = core_with("a", &["a"], now);
+    core.on_heartbeat(&heartbeat(1), now);
+    let notice = BackendNotice {
+        instance: "i-1".to_owned(),
+        request_limit: Some(10.0),
+        leaving: false,
+    };
+    core.on_backend_notice(&notice, now);
+    for _ in 0..3 {
+        core.begin_call(call_spec(), CallRequest::default(), now);
+    }
+    assert_eq!(take_runs(&mut core), 0, "the limit allows none yet");
+    core.on_heartbeat(&heartbeat(2), now);
+    assert_eq!(take_runs(&mut core), 3);
+}
