Learn of a version in time although both watchers end while they pause

Callers of a data centre whose two watchers end at once could be refused with 404 by the surviving nodes for 0.4 s longer than the 2 s allowed, for a version confirmed shortly before.

Cause: three delays, each within its own bound, whose sum isn't. A watcher pauses 0.9 s after it has read a version, the others notice its end 1.3 s after the last digest, or 1.2 s after it lost the store, and they look at that each 0.3 s. Class: a time limit that is checked part by part.

Now the pause is 0.5 s, the end is noticed 1.1 s after the last digest, the followers wake at that very moment, and the message that a watcher has lost the store wakes them at once: 1.7 s and a read.

Evidence: the two tests ..._before_they_read_it failed before, with the end 0.85 s after the version (5 instead of 7 after 2 s), and pass now at 100 moments each. With the shorter timeout alone the second still fails; with the shorter pause alone both pass, by the sum with 0.15 s left.

Looked for elsewhere: the pause after changes of registrations adds up in the same way; no rule binds it, since a backend server's leaving is acted on by its own node.

--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -66,6 +66,21 @@
         self.is_watcher() || self.watchers.is_unresponsive(now)
     }
 
+    /// Handles the loss of the store at a watcher.
+    pub(crate) fn on_watcher_lost_store(&mut self, watcher: NodeId, now: Instant) {
+        let was_unresponsive = self.watchers.is_unresponsive(now);
+        self.watchers.on_store_lost(watcher);
+        if !was_unresponsive && self.watchers.is_unresponsive(now) {
+            self.actions.push(MeshAction::WatchersLost);
+        }
+    }
+
+    /// Time at which the watchers count as unresponsive unless one of them sends a digest, `None`
+    /// when they already do.
+    pub fn watchers_deadline(&self) -> Option<Instant> {
+        self.watchers.deadline()
+    }
+
     /// Time since the last digest of a watcher.
     pub fn watchers_silent_time(&self, now: Instant) -> Duration {
         self.watchers.silent_time(now)
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -100,7 +100,7 @@
                 let own_digest = self.directory.digest();
                 let sender_lacks_store = received.hashes.is_empty();
                 if sender_lacks_store {
-                    self.watchers.on_store_lost(from);
+                    self.on_watcher_lost_store(from, now);
                 }
                 for hash in received.hashes {
                     self.watchers.on_digest(from, hash.hash, own_digest, now);
--- a/crates/sequoiagw-mesh/src/mesh_action.rs
+++ b/crates/sequoiagw-mesh/src/mesh_action.rs
@@ -21,4 +21,6 @@
     Reply(u64, CallerReply),
     /// Write the node's own registration to the store again.
     RegistrationChanged,
+    /// Follow the store, since the watchers of the data centre have lost it.
+    WatchersLost,
 }
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -41,6 +41,8 @@
     format: Rc<dyn PlatformFormat>,
     /// Notified when the node's registration in the store has to be written.
     registration_changed: Rc<Notify>,
+    /// Notified when the watchers of the data centre have lost the store.
+    watchers_lost: Rc<Notify>,
     /// Notified when a timer may be due earlier than the event loop is set to wake.
     timer_changed: Rc<Notify>,
 }
@@ -80,6 +82,7 @@
             inner: Rc::new(RefCell::new(inner)),
             format,
             registration_changed: Rc::default(),
+            watchers_lost: Rc::default(),
             timer_changed: Rc::default(),
         }
     }
@@ -94,6 +97,11 @@
         Rc::clone(&self.registration_changed)
     }
 
+    /// Waits until the watchers of the data centre lose the store.
+    pub async fn wait_for_watchers_lost(&self) {
+        self.watchers_lost.notified().await;
+    }
+
     /// Handles events and timers until the sender of the events is dropped.
     pub async fn run(&self, mut receiver: UnboundedReceiver<CoreEvent>) {
         loop {
@@ -240,6 +248,7 @@
                 }
             }
             MeshAction::RegistrationChanged => self.registration_changed.notify_one(),
+            MeshAction::WatchersLost => self.watchers_lost.notify_waiters(),
         }
     }
 
--- a/crates/sequoiagw-mesh/src/registration_sync.rs
+++ b/crates/sequoiagw-mesh/src/registration_sync.rs
@@ -20,7 +20,7 @@
 use crate::NodeRegistration;
 
 /// Time without a digest after which a node watches the store itself.
-const DIGEST_TIMEOUT: Duration = Duration::from_millis(1300);
+const DIGEST_TIMEOUT: Duration = Duration::from_millis(1100);
 /// Time for which the watchers' digest may differ before all registrations are read again.
 const MISMATCH_READ_DELAY: Duration = Duration::from_millis(2500);
 /// Extra time before the first timeout after a start, in which nodes register and learn which of
@@ -138,8 +138,13 @@
 
     /// Whether no watcher that has the store has sent a digest within the timeout.
     pub fn is_unresponsive(&self, now: Instant) -> bool {
-        self.last_digest()
-            .is_none_or(|last_digest| now >= last_digest + DIGEST_TIMEOUT)
+        self.deadline().is_none_or(|deadline| now >= deadline)
+    }
+
+    /// Time from which [`Self::is_unresponsive`] holds without another digest, `None` if it already
+    /// holds.
+    pub fn deadline(&self) -> Option<Instant> {
+        Some(self.last_digest()? + DIGEST_TIMEOUT)
     }
 
     /// Newest digest of all watchers that have the store; before the first one, the end of the
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -14,6 +14,7 @@
 use sequoiagw_store::StoreReply;
 use sequoiagw_store::StoreRequest;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 use tokio::time::Instant;
 use tracing::info;
 use tracing::warn;
@@ -30,7 +31,7 @@
 /// Longest time that the store may delay the answer to a poll for changes.
 const POLL_WAIT: Duration = Duration::from_secs(20);
 /// Time between reading a version and reading the next one.
-const CONFIG_READ_INTERVAL: Duration = Duration::from_millis(900);
+const CONFIG_READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Pause after changes of registrations, so that simultaneous changes arrive in one batch.
 const REGISTRATION_BATCH_DELAY: Duration = Duration::from_millis(900);
 /// Time between two digests of the registrations.
@@ -244,7 +245,12 @@
         ReadPending: Fn(&mut MeshCore, Instant) -> bool,
     {
         while !self.watches_store() {
-            sleep(WATCHER_CHECK_INTERVAL).await;
+            let next_check = Instant::now() + WATCHER_CHECK_INTERVAL;
+            let deadline = self.handle.read(MeshCore::watchers_deadline);
+            tokio::select! {
+                () = sleep_until(deadline.map_or(next_check, |time| time.min(next_check))) => {}
+                () = self.handle.wait_for_watchers_lost() => {}
+            }
             if self.handle.with_core(&read_pending) {
                 return;
             }
--- a/crates/sequoiagw-mesh/tests/lost_watchers.rs
+++ b/crates/sequoiagw-mesh/tests/lost_watchers.rs
@@ -44,6 +44,8 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
+use tokio::time::Instant;
 
 const BOOT: u64 = 1;
 /// Time within which a confirmed version must be in force.
@@ -153,14 +155,30 @@
     entry(format!("{NODES_PREFIX}{name}"), value, 1)
 }
 
-/// Links that pass frames to the event loops of the other nodes at once.
+/// One node's links, which pass frames to the event loops of the other nodes at once.
 #[derive(Clone, Default)]
 struct DirectLinks {
+    /// Event loops of all nodes.
     receivers: Rc<RefCell<Vec<(NodeAddress, EventSender)>>>,
+    /// Whether this node's frames are lost.
+    silent: Rc<Cell<bool>>,
+}
+
+impl DirectLinks {
+    /// Links of another node of the same fleet.
+    fn for_another_node(&self) -> Self {
+        Self {
+            receivers: Rc::clone(&self.receivers),
+            silent: Rc::default(),
+        }
+    }
 }
 
 impl PeerLinks for DirectLinks {
     fn send(&self, to: NodeAddress, frame: PeerFrame) {
+        if self.silent.get() {
+            return;
+        }
         for (address, events) in self.receivers.borrow().iter() {
             if *address == to {
                 // The receiver's loop runs until the end of the test.
@@ -200,35 +218,114 @@
     handle
 }
 
+/// A node of a fleet, with what a fault changes.
+struct FleetNode {
+    handle: MeshHandle,
+    store: SharedStore,
+    links: DirectLinks,
+}
+
+impl FleetNode {
+    fn active_version(&self) -> u64 {
+        self.handle.read(MeshCore::active_version_number)
+    }
+}
+
+/// Starts all nodes with a store that `operators` write to.
+fn start_fleet(operators: &Rc<watch::Sender<u64>>) -> Vec<FleetNode> {
+    let fleet_links = DirectLinks::default();
+    let nodes = NODES.iter().map(|name| {
+        let store = SharedStore::new(operators);
+        let links = fleet_links.for_another_node();
+        FleetNode {
+            handle: start_node(name, &store, &links),
+            store,
+            links,
+        }
+    });
+    nodes.collect()
+}
+
+/// How both watchers of the data centre end.
+#[derive(Clone, Copy, Debug)]
+enum WatcherEnd {
+    PowerLoss,
+    StoreLoss,
+}
+
+impl WatcherEnd {
+    fn apply(self, watchers: &[FleetNode]) {
+        for watcher in watchers {
+            watcher.store.cut.set(true);
+            watcher.links.silent.set(matches!(self, Self::PowerLoss));
+        }
+    }
+}
+
 #[tokio::test(start_paused = true)]
 async fn version_is_in_force_in_time_although_the_watchers_lost_the_store_unnoticed() {
     let check = async {
         // The moment of the cut relative to the renewals and digests is varied.
         for step in 0..10 {
             let operators = Rc::new(watch::channel(3).0);
-            let links = DirectLinks::default();
-            let stores: Vec<SharedStore> =
-                NODES.iter().map(|_| SharedStore::new(&operators)).collect();
-            let nodes: Vec<MeshHandle> = NODES
-                .iter()
-                .zip(&stores)
-                .map(|(name, store)| start_node(name, store, &links))
-                .collect();
+            let nodes = start_fleet(&operators);
             sleep(Duration::from_secs(20) + Duration::from_millis(200) * step).await;
-            for store in &stores[..2] {
-                store.cut.set(true);
-            }
+            WatcherEnd::StoreLoss.apply(&nodes[..2]);
             operators.send_replace(7);
             sleep(PROPAGATION_LIMIT).await;
             for node in &nodes[2..] {
-                let number = node.read(MeshCore::active_version_number);
-                assert_eq!(number, 7, "the cut was at step {step}");
+                assert_eq!(node.active_version(), 7, "the cut was at step {step}");
             }
         }
     };
     LocalSet::new().run_until(check).await;
 }
 
+/// Writes two versions in quick succession and lets both watchers end some time later; the other
+/// nodes must have the second version in time. `phase` shifts the moment relative to the renewals
+/// and digests.
+async fn check_version_before_an_end(end: WatcherEnd, phase: Duration, end_delay: Duration) {
+    let operators = Rc::new(watch::channel(3).0);
+    let nodes = start_fleet(&operators);
+    sleep(Duration::from_secs(8) + phase).await;
+    operators.send_replace(5);
+    sleep(Duration::from_millis(50)).await;
+    operators.send_replace(7);
+    let deadline = Instant::now() + PROPAGATION_LIMIT;
+    sleep(end_delay).await;
+    end.apply(&nodes[..2]);
+    sleep_until(deadline).await;
+    for node in &nodes[2..] {
+        let version = node.active_version();
+        assert_eq!(
+            version, 7,
+            "{end:?} after {end_delay:?}, shifted by {phase:?}"
+        );
+    }
+}
+
+async fn check_versions_before_an_end(end: WatcherEnd) {
+    for phase in 0..5 {
+        for step in 0..20 {
+            let phase = Duration::from_millis(110) * phase;
+            let end_delay = Duration::from_millis(50) * step;
+            LocalSet::new()
+                .run_until(check_version_before_an_end(end, phase, end_delay))
+                .await;
+        }
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn version_is_in_force_in_time_although_the_watchers_lose_power_before_they_read_it() {
+    check_versions_before_an_end(WatcherEnd::PowerLoss).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn version_is_in_force_in_time_although_the_watchers_lose_the_store_before_they_read_it() {
+    check_versions_before_an_end(WatcherEnd::StoreLoss).await;
+}
+
 #[tokio::test(start_paused = true)]
 async fn outage_does_not_outlast_the_first_answer_to_a_process_without_a_lease() {
     let check = async {
