Keep a backend server out that left before a restart in an outage of the store

A node whose process ended while the store was out forgot that its backend server had said in an answer, or by a leave notice, that it leaves; with a late heartbeat that still said ready the next process used it again.

Cause: the leaving was kept in the process and in its registration, and records that nodes pass to each other didn't carry it. Class: what must outlast a process is kept where it can't be written.

A registration that can't be written because the store is out now goes to the nodes of the data centre if the backend server is leaving, records between nodes carry the leaving process, and a process takes it over from its own record, wherever it comes from. Slots are withdrawn at that moment, no longer with the next tick.

Evidence: backend_server_that_left_stays_out_after_a_restart_in_an_outage_of_the_store failed before (200 after the drain timeout) and passes now. Not covered: the node is the only watcher of its data centre left, or it ends before its first write has failed.

--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -19,6 +19,7 @@
 use crate::MeshCore;
 use crate::NodeRegistration;
 use crate::RegistrationChange;
+use crate::TargetIncarnation;
 
 /// Fraction of the fleet's extra retries that is divided among the nodes. The rest is a margin,
 /// since each node only estimates how many nodes there are.
@@ -32,14 +33,22 @@
         let own = registrations
             .iter()
             .find(|(registration, _)| registration.name == self.settings.name);
-        if let Some(incarnation) = own.and_then(|(registration, _)| registration.leaving.clone()) {
-            self.target.restore_departed(incarnation);
-        }
+        let departed = own.and_then(|(registration, _)| registration.leaving.clone());
         self.store_access = StoreAccess::Available;
         self.directory.replace(registrations, now);
+        self.restore_departed(departed, now);
         self.on_directory_changed(now);
     }
 
+    /// Takes over which incarnation of the backend server has left, from the registration that an
+    /// earlier process of this node made.
+    fn restore_departed(&mut self, departed: Option<TargetIncarnation>, now: Instant) {
+        if let Some(incarnation) = departed {
+            self.target.restore_departed(incarnation);
+            self.update_slot_offer(now);
+        }
+    }
+
     /// Applies changes of registrations, from the store or from a peer.
     pub fn on_registration_changes(&mut self, changes: &[RegistrationChange], now: Instant) {
         let mut needs_update = false;
@@ -47,6 +56,9 @@
             match change {
                 RegistrationChange::Written(registration, revision) => {
                     needs_update |= self.directory.put(registration.clone(), *revision);
+                    if registration.name == self.settings.name {
+                        self.restore_departed(registration.leaving.clone(), now);
+                    }
                 }
                 RegistrationChange::Removed(node, revision) => {
                     self.directory.remove(*node, *revision, now);
@@ -201,14 +213,9 @@
     /// Sends this node's registration to all nodes without the store, unless the directory
     /// already has it. It carries the boot of this process and the slots offered now.
     pub(crate) fn announce_registration(&mut self, now: Instant) {
-        let registration = self.own_registration();
-        if self.directory.registration(&registration.name) == Some(&registration) {
+        let Some(own) = self.take_unannounced_registration(now) else {
             return;
-        }
-        let revision = self.directory.revision(self.node) + 1;
-        let own = RegistrationChange::Written(registration, revision);
-        self.on_registration_changes(std::slice::from_ref(&own), now);
-        let own = own.to_record();
+        };
         let nodes: Vec<NodeId> = self.directory.boots().map(|(node, _)| node).collect();
         for node in nodes {
             if node != self.node {
@@ -216,6 +223,30 @@
             }
         }
     }
+
+    /// Sends the registration to the nodes of the data centre if the backend server is leaving, since
+    /// it can't be written to the store. The next process of this node learns it from them.
+    pub fn announce_unwritten_departure(&mut self, now: Instant) {
+        let registered = self.directory.registration(&self.settings.name);
+        if registered.is_none() || self.target.leaving().is_none() {
+            return;
+        }
+        if let Some(own) = self.take_unannounced_registration(now) {
+            self.broadcast_to_data_centre(&records_body(vec![own]), now);
+        }
+    }
+
+    /// Record of this node's registration if the directory has another one, which it replaces.
+    fn take_unannounced_registration(&mut self, now: Instant) -> Option<MemberRecord> {
+        let registration = self.own_registration();
+        if self.directory.registration(&registration.name) == Some(&registration) {
+            return None;
+        }
+        let revision = self.directory.revision(self.node) + 1;
+        let own = RegistrationChange::Written(registration, revision);
+        self.on_registration_changes(std::slice::from_ref(&own), now);
+        Some(own.to_record())
+    }
 }
 
 /// Builds a frame body that carries records of nodes and requests none.
--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -89,6 +89,8 @@
                 }
                 Err(error) => {
                     self.health.record_failure(&error);
+                    self.handle
+                        .with_core(MeshCore::announce_unwritten_departure);
                     sleep(RETRY_DELAY).await;
                 }
             }
--- a/crates/sequoiagw-mesh/src/registration_sync.rs
+++ b/crates/sequoiagw-mesh/src/registration_sync.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use sequoiagw_protocol::LeavingBackend;
 use sequoiagw_protocol::MemberRecord;
 use sequoiagw_protocol::MemberState;
 use sequoiagw_protocol::NodeId;
@@ -18,6 +19,7 @@
 use crate::store_follower::parse_registration;
 use crate::store_follower::NODES_PREFIX;
 use crate::NodeRegistration;
+use crate::TargetIncarnation;
 
 /// Time without a digest after which a node watches the store itself.
 const DIGEST_TIMEOUT: Duration = Duration::from_millis(1100);
@@ -70,12 +72,15 @@
             service: record.service,
             slots: record.slots,
             link_mbps: record.link_mbps,
-            leaving: None,
+            leaving: record.leaving.map(|leaving| TargetIncarnation {
+                instance: leaving.instance,
+                born_ms: leaving.born_ms,
+            }),
         };
         Self::Written(registration, revision)
     }
 
-    /// Converts the change to a record for peers. The leaving incarnation isn't part of it.
+    /// Converts the change to a record for peers.
     pub fn to_record(&self) -> MemberRecord {
         match self {
             Self::Removed(node, revision) => MemberRecord {
@@ -95,6 +100,13 @@
                 slots: registration.slots,
                 link_mbps: registration.link_mbps,
                 name: registration.name.clone(),
+                leaving: registration
+                    .leaving
+                    .as_ref()
+                    .map(|incarnation| LeavingBackend {
+                        instance: incarnation.instance.clone(),
+                        born_ms: incarnation.born_ms,
+                    }),
                 ..MemberRecord::default()
             },
         }
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -22,6 +22,17 @@
     Left = 5,
 }
 
+/// Process of a backend server that is leaving.
+#[derive(Clone, Eq, Hash, Message, PartialEq)]
+pub struct LeavingBackend {
+    /// Instance name, which a later process may have too.
+    #[prost(string, tag = "1")]
+    pub instance: String,
+    /// Start time of the process, in Unix milliseconds; 0 if it is unknown.
+    #[prost(uint64, tag = "2")]
+    pub born_ms: u64,
+}
+
 /// Record of a member: its addresses, its backend server and its state.
 ///
 /// Of two records of a member, the one with the higher (`boot`, `revision`, `state`) wins.
@@ -63,6 +74,9 @@
     /// Bandwidth of the host's network link, in Mbit/s; 0 if it is unknown.
     #[prost(uint32, tag = "12")]
     pub link_mbps: u32,
+    /// Process of the backend server that is leaving, if there is one.
+    #[prost(message, optional, tag = "13")]
+    pub leaving: Option<LeavingBackend>,
 }
 
 /// Probe of a member, or request to probe another one on the sender's behalf.
