Drive entry and owner by one type in both cores

The cores of node and mesh each turned the actions of entry and owner into their own and counted and logged the same events in two places. CallMachines does it once. No behaviour changes: what is sent and counted stays; an answer for a node without an address is counted where a dispatch is.

--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -166,17 +166,18 @@
         for (node, boot) in &self.known_boots {
             let current_boot = boots.get(node).copied();
             if current_boot != Some(*boot) {
-                self.entry.on_node_lost(*node, current_boot, now);
+                self.calls.entry.on_node_lost(*node, current_boot, now);
             }
         }
         self.known_boots = boots;
-        self.entry
+        self.calls
+            .entry
             .balancer_mut()
             .set_targets(self.directory.targets());
         let node_count = self.directory.len().max(1) as f64;
         let extra_retries =
             self.settings.retry_budget.extra_per_window * EXTRA_RETRIES_FRACTION / node_count;
-        self.entry.set_retry_budget_capacity(extra_retries);
+        self.calls.entry.set_retry_budget_capacity(extra_retries);
         let registered = self.directory.registration(&self.settings.name);
         if registered != Some(&self.own_registration()) {
             self.actions.push(MeshAction::RegistrationChanged);
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -17,7 +17,7 @@
     pub fn on_frame(&mut self, frame: PeerFrame, bytes: usize, now: Instant) {
         let from = frame.sender_id();
         self.counters.add_frame_bytes(frame.kind(), bytes);
-        self.entry.on_contact(from, now);
+        self.calls.entry.on_contact(from, now);
         if let Some(body) = frame.body {
             self.on_frame_body(from, frame.boot, body, now);
         }
@@ -28,7 +28,7 @@
     /// the part's encoded size.
     pub fn on_part_received(&mut self, node: NodeId, bytes: usize, now: Instant) {
         self.counters.add_frame_bytes(FrameKind::Call, bytes);
-        self.entry.on_contact(node, now);
+        self.calls.entry.on_contact(node, now);
     }
 
     /// Handles a new link to a node. When the node has restarted, the link shows its new boot
@@ -50,7 +50,7 @@
     pub fn on_link_lost(&mut self, address: NodeAddress, now: Instant) {
         self.counters.count("link.lost");
         for node in self.directory.nodes_at(address) {
-            self.entry.on_link_lost(node, now);
+            self.calls.entry.on_link_lost(node, now);
             self.on_watcher_lost(node, now);
         }
         self.process_actions(now);
@@ -63,10 +63,12 @@
             for frame in frames {
                 match &frame.body {
                     Some(FrameBody::Dispatch(dispatch)) => {
-                        self.entry.on_dispatch_undelivered(dispatch.call, node, now);
+                        self.calls
+                            .entry
+                            .on_dispatch_undelivered(dispatch.call, node, now);
                     }
                     Some(FrameBody::Query(query)) => {
-                        self.entry.on_query_undelivered(query.call, node, now);
+                        self.calls.entry.on_query_undelivered(query.call, node, now);
                     }
                     _ => {}
                 }
@@ -78,12 +80,14 @@
     /// Handles the body of a frame from a node, which may be this node itself.
     pub(crate) fn on_frame_body(&mut self, from: NodeId, boot: u64, body: FrameBody, now: Instant) {
         match body {
-            FrameBody::Dispatch(dispatch) => self.owner.on_dispatch(from, boot, dispatch, now),
+            FrameBody::Dispatch(dispatch) => {
+                self.calls.owner.on_dispatch(from, boot, dispatch, now);
+            }
             FrameBody::Answer(answer) if answer.entry_boot == self.boot => {
-                self.entry.on_answer(from, boot, answer, now);
+                self.calls.entry.on_answer(from, boot, answer, now);
             }
-            FrameBody::Query(query) => self.owner.on_query(from, boot, query, now),
-            FrameBody::Cancel(cancel) => self.owner.on_cancel(from, boot, cancel.call, now),
+            FrameBody::Query(query) => self.calls.owner.on_query(from, boot, query, now),
+            FrameBody::Cancel(cancel) => self.calls.owner.on_cancel(from, boot, cancel.call, now),
             FrameBody::ConfigRequest(request) => self.send_newer_version(from, request.held),
             FrameBody::Records(received) => {
                 let requested = !received.requested_data_centres.is_empty();
--- a/crates/sequoiagw-mesh/src/core_target.rs
+++ b/crates/sequoiagw-mesh/src/core_target.rs
@@ -62,7 +62,7 @@
         );
         self.counters.count("backend.limit_changed");
         self.request_limit = limit;
-        self.owner.set_start_rate(limit, now);
+        self.calls.owner.set_start_rate(limit, now);
         self.process_actions(now);
     }
 
@@ -92,9 +92,9 @@
             slot_rule: SlotRule::Fixed,
             ..OwnerSettings::default()
         };
-        self.owner.reconfigure(owner_settings, now);
+        self.calls.owner.reconfigure(owner_settings, now);
         if slots == 0 {
-            self.owner.refuse_queued(now);
+            self.calls.owner.refuse_queued(now);
         }
         self.actions.push(MeshAction::RegistrationChanged);
         if self.store_access == StoreAccess::Bypassed {
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -9,6 +9,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sequoiagw_node::CallMachines;
 use sequoiagw_node::NodeCounters;
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::CallRequest;
@@ -19,7 +20,6 @@
 use sequoiagw_policy::OwnerSettings;
 use sequoiagw_policy::RefusedCallers;
 use sequoiagw_policy::RunId;
-use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
 use tokio::time::Instant;
@@ -55,8 +55,7 @@
     pub(crate) settings: MeshSettings,
     pub(crate) node: NodeId,
     pub(crate) boot: u64,
-    pub(crate) entry: EntryMachine,
-    pub(crate) owner: OwnerMachine,
+    pub(crate) calls: CallMachines,
     pub(crate) directory: FleetDirectory,
     pub(crate) target: TargetMonitor,
     pub(crate) active_version: Option<Rc<MeshVersion>>,
@@ -94,8 +93,11 @@
         Self {
             node,
             boot,
-            entry: EntryMachine::new(&settings.data_centre, entry_rng),
-            owner: OwnerMachine::new(node, boot, OwnerSettings::default()),
+            calls: CallMachines::new(
+                EntryMachine::new(&settings.data_centre, entry_rng),
+                OwnerMachine::new(node, boot, OwnerSettings::default()),
+                counters.clone(),
+            ),
             directory: FleetDirectory::default(),
             target: TargetMonitor::new(&backend.service, &address, backend.heartbeat_interval),
             active_version: None,
@@ -174,12 +176,12 @@
 
     /// Sets the time until the large frames that wait at this host have been sent.
     pub fn set_link_wait(&mut self, link_wait: Duration) {
-        self.owner.set_link_wait(link_wait);
+        self.calls.owner.set_link_wait(link_wait);
     }
 
     /// Number of unfinished calls, as entry and as owner.
     pub fn open_calls(&self) -> usize {
-        self.entry.open_calls() + self.owner.open_calls()
+        self.calls.open_calls()
     }
 
     /// Registration that the store should hold for this node.
@@ -228,16 +230,14 @@
     /// Starts a caller's call and returns its number, which the later [`MeshAction::Reply`]
     /// carries.
     pub fn begin_call(&mut self, spec: CallSpec, request: CallRequest, now: Instant) -> u64 {
-        let call = self.entry.begin_call(spec, request, now);
+        let call = self.calls.begin_call(spec, request, now);
         self.process_actions(now);
         call
     }
 
     /// Cancels a call whose caller disconnected.
     pub fn cancel_call(&mut self, call: u64, now: Instant) {
-        self.counters
-            .count_refusal(ErrorKind::CallerGone.rule().name);
-        self.entry.on_caller_gone(call, now);
+        self.calls.cancel_call(call, now);
         self.process_actions(now);
     }
 
@@ -251,16 +251,15 @@
         if matches!(result, BackendResult::Answered { .. }) {
             self.target.on_answer(now);
         }
-        self.owner.on_result(run, result, now);
+        self.calls.on_run_finished(run, result, now);
         self.process_actions(now);
     }
 
     /// Handles everything that is due at `now`.
     pub fn on_tick(&mut self, now: Instant) {
-        self.entry.on_tick(now);
-        self.owner.on_tick(now);
+        self.calls.on_tick(now);
         self.update_slot_offer(now);
-        let entry = &self.entry;
+        let entry = &self.calls.entry;
         if self.directory.expire(now, |node| entry.last_contact(node)) {
             self.counters.count("directory.expired");
             self.on_directory_changed(now);
@@ -275,8 +274,7 @@
             .heartbeat_deadline()
             .filter(|_| self.offered_slots > 0);
         let times = [
-            self.entry.next_wake(),
-            self.owner.next_wake(),
+            self.calls.next_wake(),
             heartbeat_deadline,
             self.directory.next_expiry(now),
         ];
@@ -289,7 +287,7 @@
             return;
         }
         self.draining = true;
-        self.owner.drain(now);
+        self.calls.owner.drain(now);
         self.actions.push(MeshAction::RegistrationChanged);
         self.process_actions(now);
     }
--- a/crates/sequoiagw-node/src/core_changes.rs
+++ b/crates/sequoiagw-node/src/core_changes.rs
@@ -85,7 +85,7 @@
                 .map(|route| route.settings.key_window);
             settings.key_window = key_windows.max().unwrap_or(settings.key_window);
         }
-        self.owner.reconfigure(settings, now);
+        self.calls.owner.reconfigure(settings, now);
     }
 
     pub(crate) fn on_members_changed(&mut self, now: Instant) {
@@ -117,7 +117,7 @@
         let targets = targets_by_service(table);
         let holder_count = table.records().filter(|record| record.seat > 0).count();
         self.committer.set_committers(holder_count as u32);
-        self.entry.balancer_mut().set_targets(targets);
+        self.calls.entry.balancer_mut().set_targets(targets);
         self.versions.set_peers(peers, now);
         self.holder.set_candidacy(candidacy, now);
     }
--- a/crates/sequoiagw-node/src/core_messages.rs
+++ b/crates/sequoiagw-node/src/core_messages.rs
@@ -31,10 +31,10 @@
         if frame.boot > known_boot {
             self.peer_boots.insert(from, frame.boot);
             if known_boot > 0 {
-                self.entry.on_node_lost(from, Some(frame.boot), now);
+                self.calls.entry.on_node_lost(from, Some(frame.boot), now);
             }
         }
-        self.entry.on_contact(from, now);
+        self.calls.entry.on_contact(from, now);
         if let Some(body) = frame.body {
             self.on_body(from, frame.boot, body, now);
         }
@@ -53,16 +53,18 @@
             | FrameBody::ConfigBusy(_)
             | FrameBody::Versions(_)
             | FrameBody::Activate(_) => self.versions.on_message(from, body, now),
-            FrameBody::Dispatch(dispatch) => self.owner.on_dispatch(from, boot, dispatch, now),
+            FrameBody::Dispatch(dispatch) => {
+                self.calls.owner.on_dispatch(from, boot, dispatch, now);
+            }
             FrameBody::Answer(answer) => {
                 if answer.entry_boot == self.identity.boot {
-                    self.entry.on_answer(from, boot, answer, now);
+                    self.calls.entry.on_answer(from, boot, answer, now);
                 } else {
                     self.counters.count("answer.other_boot");
                 }
             }
-            FrameBody::Query(query) => self.owner.on_query(from, boot, query, now),
-            FrameBody::Cancel(cancel) => self.owner.on_cancel(from, boot, cancel.call, now),
+            FrameBody::Query(query) => self.calls.owner.on_query(from, boot, query, now),
+            FrameBody::Cancel(cancel) => self.calls.owner.on_cancel(from, boot, cancel.call, now),
             FrameBody::Claim(request) => self.on_claim_request(from, request, now),
             FrameBody::ClaimReply(reply) => self.on_claim_reply(&reply, now),
             FrameBody::FleetQuery(query) => {
@@ -93,11 +95,13 @@
             for frame in frames {
                 match &frame.body {
                     Some(FrameBody::Dispatch(dispatch)) => {
-                        self.entry.on_dispatch_undelivered(dispatch.call, node, now);
+                        self.calls
+                            .entry
+                            .on_dispatch_undelivered(dispatch.call, node, now);
                     }
                     Some(FrameBody::Claim(request)) => {
                         for claim in &request.claims {
-                            self.owner.on_claim(&claim.key, None, now);
+                            self.calls.owner.on_claim(&claim.key, None, now);
                         }
                     }
                     _ => {}
@@ -121,10 +125,10 @@
 
     pub(crate) fn on_claim_reply(&mut self, reply: &ClaimReply, now: Instant) {
         for claim in &reply.recorded {
-            self.owner.on_claim(&claim.key, Some(claim), now);
+            self.calls.owner.on_claim(&claim.key, Some(claim), now);
         }
         for key in &reply.failed {
-            self.owner.on_claim(key, None, now);
+            self.calls.owner.on_claim(key, None, now);
         }
     }
 
@@ -151,7 +155,7 @@
                 };
                 self.send(holder, FrameBody::Claim(request));
             }
-            None => self.owner.on_claim(&claim.key, None, now),
+            None => self.calls.owner.on_claim(&claim.key, None, now),
         }
     }
 
@@ -173,17 +177,12 @@
         holders
     }
 
-    /// Sends a message for the entry role. A dispatch to a node without a known address is
-    /// reported as undelivered.
-    pub(crate) fn send_for_entry(&mut self, node: NodeId, body: FrameBody, now: Instant) {
-        let has_no_address = node != self.node && self.members().address(node).is_none();
-        match &body {
-            FrameBody::Dispatch(dispatch) if has_no_address => {
-                let call = dispatch.call;
-                self.counters.count("frame.no_address");
-                self.entry.on_dispatch_undelivered(call, node, now);
-            }
-            _ => self.send(node, body),
+    /// Sends a message of a call, or reports that its node has no known address.
+    pub(crate) fn send_for_call(&mut self, node: NodeId, body: FrameBody, now: Instant) {
+        if node != self.node && self.members().address(node).is_none() {
+            self.calls.on_unaddressed(node, &body, now);
+        } else {
+            self.send(node, body);
         }
     }
 
--- a/crates/sequoiagw-node/src/core_settle.rs
+++ b/crates/sequoiagw-node/src/core_settle.rs
@@ -7,8 +7,6 @@
 use sequoiagw_distribution::StoreKeys;
 use sequoiagw_distribution::VersionAction;
 use sequoiagw_membership::MembershipAction;
-use sequoiagw_policy::EntryAction;
-use sequoiagw_policy::OwnerAction;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::MemberState;
 use sequoiagw_store::StoreRequest;
@@ -16,8 +14,7 @@
 use tracing::info;
 use tracing::warn;
 
-use crate::log_entry_event;
-use crate::log_refusal;
+use crate::CallAction;
 use crate::CoreAction;
 use crate::NodeCore;
 use crate::StoreTag;
@@ -37,8 +34,7 @@
             idle &= self.process_version_actions(now);
             idle &= self.process_holder_actions(now);
             idle &= self.process_claim_actions(now);
-            idle &= self.process_entry_actions(now);
-            idle &= self.process_owner_actions(now);
+            idle &= self.process_call_actions(now);
             while let Some(body) = self.loopback_frames.pop_front() {
                 idle = false;
                 self.on_body(self.node, self.identity.boot, body, now);
@@ -60,7 +56,7 @@
                 MembershipAction::RecordChanged(_) => self.members_changed = true,
                 MembershipAction::Departed(node) => {
                     self.counters.count("member.departed");
-                    self.entry.on_node_lost(node, None, now);
+                    self.calls.entry.on_node_lost(node, None, now);
                 }
                 MembershipAction::PeerVersions(from, versions) => {
                     let record = self.members().get(from);
@@ -143,44 +139,25 @@
         idle
     }
 
-    pub(crate) fn process_entry_actions(&mut self, now: Instant) -> bool {
-        let actions = self.entry.take_actions();
+    pub(crate) fn process_call_actions(&mut self, now: Instant) -> bool {
+        let member = |node| self.membership.table().get(node);
+        let name_of = |node| member(node).map(|record| record.name.clone());
+        let actions = self.calls.take_actions(name_of);
         let idle = actions.is_empty();
         for action in actions {
             match action {
-                EntryAction::Send(node, body) => self.send_for_entry(node, body, now),
-                EntryAction::ResetLink(node) => {
-                    self.counters.count("link.reset");
+                CallAction::Send(node, body) => self.send_for_call(node, body, now),
+                CallAction::ResetLink(node) => {
                     if let Some(address) = self.members().address(node) {
                         self.actions.push(CoreAction::ResetLink(address));
                     }
                 }
-                EntryAction::Reply(call, reply) => {
-                    if let Err(kind) = reply.outcome {
-                        self.counters.count_refusal(kind.rule().name);
-                    }
+                CallAction::Reply(call, reply) => {
                     self.actions.push(CoreAction::Reply(call, reply));
                 }
-                EntryAction::Record(event) => {
-                    let member = |node| self.membership.table().get(node);
-                    let name_of = |node| member(node).map(|record| record.name.clone());
-                    log_entry_event(&event, &self.counters, name_of);
-                }
-            }
-        }
-        idle
-    }
-
-    pub(crate) fn process_owner_actions(&mut self, now: Instant) -> bool {
-        let actions = self.owner.take_actions();
-        let idle = actions.is_empty();
-        for action in actions {
-            match action {
-                OwnerAction::Answer(node, answer) => self.send(node, FrameBody::Answer(answer)),
-                OwnerAction::Run(request) => self.actions.push(CoreAction::Run(request)),
-                OwnerAction::Abort(run) => self.actions.push(CoreAction::Abort(run)),
-                OwnerAction::Claim(claim, attempt) => self.claim(claim, attempt, now),
-                OwnerAction::RecordRefusal(record) => log_refusal(&record, &self.counters),
+                CallAction::Run(request) => self.actions.push(CoreAction::Run(request)),
+                CallAction::Abort(run) => self.actions.push(CoreAction::Abort(run)),
+                CallAction::Claim(claim, attempt) => self.claim(claim, attempt, now),
             }
         }
         idle
--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -22,7 +22,6 @@
 use sequoiagw_policy::EntryMachine;
 use sequoiagw_policy::OwnerMachine;
 use sequoiagw_policy::OwnerSettings;
-use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FleetQuery;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::FrameKind;
@@ -35,6 +34,7 @@
 use tracing::warn;
 
 use crate::BackendAnnouncement;
+use crate::CallMachines;
 use crate::CoreAction;
 use crate::CoreEvent;
 use crate::NodeCounters;
@@ -67,8 +67,7 @@
     pub(crate) versions: VersionMachine,
     pub(crate) holder: HolderMachine,
     pub(crate) committer: ClaimCommitter,
-    pub(crate) entry: EntryMachine,
-    pub(crate) owner: OwnerMachine,
+    pub(crate) calls: CallMachines,
     pub(crate) active_config: Option<Arc<CompiledConfig>>,
     pub(crate) backend: Option<BackendAnnouncement>,
     pub(crate) backend_expiry: Option<Instant>,
@@ -111,8 +110,11 @@
             versions: VersionMachine::new(node, &data_centre, new_rng(), now),
             holder: HolderMachine::new(holder_identity, new_rng()),
             committer: ClaimCommitter::default(),
-            entry: EntryMachine::new(&data_centre, new_rng()),
-            owner: OwnerMachine::new(node, identity.boot, OwnerSettings::default()),
+            calls: CallMachines::new(
+                EntryMachine::new(&data_centre, new_rng()),
+                OwnerMachine::new(node, identity.boot, OwnerSettings::default()),
+                counters.clone(),
+            ),
             active_config: None,
             backend: None,
             backend_expiry: None,
@@ -185,26 +187,24 @@
 
     /// Number of unfinished calls in the entry role and the owner role.
     pub fn open_calls(&self) -> usize {
-        self.entry.open_calls() + self.owner.open_calls()
+        self.calls.open_calls()
     }
 
     /// Load of this node's target.
     pub fn load(&self, now: Instant) -> sequoiagw_protocol::LoadReport {
-        self.owner.load(now)
+        self.calls.owner.load(now)
     }
 
     /// Starts a call for a caller and returns its id, under which [`CoreAction::Reply`] follows.
     pub fn begin_call(&mut self, spec: CallSpec, request: CallRequest, now: Instant) -> u64 {
-        let call = self.entry.begin_call(spec, request, now);
+        let call = self.calls.begin_call(spec, request, now);
         self.process_actions(now);
         call
     }
 
     /// Cancels a call whose caller has disconnected.
     pub fn cancel_call(&mut self, call: u64, now: Instant) {
-        self.counters
-            .count_refusal(ErrorKind::CallerGone.rule().name);
-        self.entry.on_caller_gone(call, now);
+        self.calls.cancel_call(call, now);
         self.process_actions(now);
     }
 
@@ -229,7 +229,7 @@
         }
         self.draining = true;
         info!(event = "drain_started", node = %self.identity.name);
-        self.owner.drain(now);
+        self.calls.owner.drain(now);
         self.membership
             .announce(|own| own.set_state(MemberState::Draining), now);
         self.membership.broadcast_own_record();
@@ -243,14 +243,14 @@
             CoreEvent::Frame { frame, bytes } => self.on_frame(frame, bytes, now),
             CoreEvent::PartReceived { node, bytes } => {
                 self.counters.add_frame_bytes(FrameKind::Call, bytes);
-                self.entry.on_contact(node, now);
+                self.calls.entry.on_contact(node, now);
             }
             // Boots are taken from member records and frames instead.
             CoreEvent::LinkEstablished { .. } => {}
             CoreEvent::LinkLost(address) => {
                 self.counters.count("link.lost");
                 for node in self.nodes_at(address) {
-                    self.entry.on_link_lost(node, now);
+                    self.calls.entry.on_link_lost(node, now);
                 }
             }
             CoreEvent::Undelivered(address, frames) => self.on_undelivered(address, &frames, now),
@@ -263,7 +263,7 @@
                 self.on_store_reply(tag, &request, reply, sent, now);
             }
             CoreEvent::WatchUpdated(update) => self.on_watch_update(update, now),
-            CoreEvent::RunFinished(run, result) => self.owner.on_result(run, result, now),
+            CoreEvent::RunFinished(run, result) => self.calls.on_run_finished(run, result, now),
             CoreEvent::BackendAnnounced(announcement) => {
                 self.backend_expiry = Some(now + ANNOUNCEMENT_TTL);
                 self.set_backend(Some(announcement), now);
@@ -281,8 +281,7 @@
         self.versions.on_tick(now);
         self.holder.on_tick(now);
         self.committer.on_tick(now);
-        self.entry.on_tick(now);
-        self.owner.on_tick(now);
+        self.calls.on_tick(now);
         if self.backend_expiry.is_some_and(|until| now >= until) {
             warn!(event = "backend_silent", node = %self.identity.name);
             self.set_backend(None, now);
@@ -296,8 +295,7 @@
             self.versions.next_wake(),
             self.holder.next_wake(),
             self.committer.next_wake(),
-            self.entry.next_wake(),
-            self.owner.next_wake(),
+            self.calls.next_wake(),
             self.backend_expiry,
             self.linger_until.filter(|_| !self.stopped),
         ];
