Notice a backend server that turns slow while its runs are still going on

Cause: occupancies are averages over fifty runs, so at 24 runs a second they follow for two seconds, and runs that haven't ended don't count at all. Class: an estimate that knows only what is over.

RunSlowdown compares the busy time of all slots since the twelfth last end with what the twelve runs were expected to take; a factor of two or more lengthens the expected waits and run times at once.

--- a/crates/sequoiagw-policy/src/occupancy_times.rs
+++ b/crates/sequoiagw-policy/src/occupancy_times.rs
@@ -6,6 +6,7 @@
 use tokio::time::Instant;
 
 use crate::RunId;
+use crate::RunSlowdown;
 
 /// Weight of a new sample in the moving averages.
 const SAMPLE_WEIGHT: f64 = 0.02;
@@ -31,12 +32,15 @@
     starts: HashMap<RunId, Instant>,
     mean: Option<Duration>,
     routes: HashMap<String, RouteOccupancy>,
+    slowdown: RunSlowdown,
 }
 
 impl OccupancyTimes {
     /// Records the start of a run.
-    pub fn record_start(&mut self, run: RunId, now: Instant) {
+    pub fn record_start(&mut self, run: RunId, route: &str, now: Instant) {
         self.starts.insert(run, now);
+        let expected = self.average_of_route(route);
+        self.slowdown.record_start(run, expected, now);
     }
 
     /// Records the end of a run and returns the time for which it occupied its slot, zero
@@ -45,6 +49,7 @@
         let Some(start) = self.starts.remove(&run) else {
             return Duration::ZERO;
         };
+        self.slowdown.record_end(run, now);
         let occupancy = now.saturating_duration_since(start);
         self.mean = Some(update_average(self.mean, occupancy));
         if !self.routes.contains_key(route) {
@@ -61,9 +66,9 @@
         occupancy
     }
 
-    /// Average over all calls.
-    pub fn mean(&self) -> Duration {
-        self.mean.unwrap_or(DEFAULT_OCCUPANCY)
+    /// Average over all calls, longer if the current runs take longer.
+    pub fn mean(&self, now: Instant) -> Duration {
+        self.average().mul_f64(self.slowdown.factor(now))
     }
 
     /// Whether a route's average is short compared with the longest average of a route that has a
@@ -79,10 +84,20 @@
         own.is_some_and(|own| own < longest.mul_f64(SHORT_ROUTE_RATIO))
     }
 
-    /// Average of a route, or of all calls when the route has no samples yet.
-    pub fn route_mean(&self, route: &str) -> Duration {
+    /// Average of a route, or of all calls when the route has no samples yet; longer if the current
+    /// runs take longer.
+    pub fn route_mean(&self, route: &str, now: Instant) -> Duration {
+        self.average_of_route(route)
+            .mul_f64(self.slowdown.factor(now))
+    }
+
+    fn average(&self) -> Duration {
+        self.mean.unwrap_or(DEFAULT_OCCUPANCY)
+    }
+
+    fn average_of_route(&self, route: &str) -> Duration {
         let known = self.routes.get(route).and_then(|known| known.mean);
-        known.unwrap_or(self.mean())
+        known.unwrap_or(self.average())
     }
 }
 
--- a/crates/sequoiagw-policy/src/owner_reports.rs
+++ b/crates/sequoiagw-policy/src/owner_reports.rs
@@ -20,14 +20,14 @@
     pub fn load(&self, now: Instant) -> LoadReport {
         LoadReport {
             running: self.limiter.running(),
-            slots: self.usable_slots(),
+            slots: self.usable_slots(now),
             waiting: self.queue.len() as u32,
             open_levels: if self.draining {
                 0
             } else {
                 self.queue.open_levels()
             },
-            occupancy_ms: self.occupancy.mean().as_millis() as u32,
+            occupancy_ms: self.occupancy.mean(now).as_millis() as u32,
             waits: LoadReport::pack_waits(self.expected_waits(now)),
             link_wait_ms: self.link_wait.as_millis() as u32,
         }
@@ -47,7 +47,7 @@
             expected_wait: self.expected_wait(level, now),
             waiting: self.queue.len(),
             running: self.limiter.running(),
-            slots: self.usable_slots(),
+            slots: self.usable_slots(now),
         };
         self.actions
             .push(OwnerAction::RecordRefusal(Box::new(refusal)));
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -100,7 +100,7 @@
         if wait.is_zero() {
             return true;
         }
-        let expected_latency = wait + self.occupancy.route_mean(&dispatch.route);
+        let expected_latency = wait + self.occupancy.route_mean(&dispatch.route, now);
         let latency_target = Duration::from_millis(u64::from(dispatch.latency_target_ms));
         let remaining = call.deadline.saturating_duration_since(now);
         match dispatch.wait_limit() {
@@ -137,7 +137,7 @@
     pub(crate) fn expected_wait(&self, level: RankLevel, now: Instant) -> Duration {
         let ahead = self.queue.queued_up_to(level) as f64 + 1.0;
         let slots = f64::from(self.limiter.allowed().max(1));
-        let freed_per_s = slots / self.occupancy.mean().as_secs_f64().max(MIN_OCCUPANCY_S);
+        let freed_per_s = slots / self.occupancy.mean(now).as_secs_f64().max(MIN_OCCUPANCY_S);
         let freed_per_s = self
             .pacer
             .rate()
@@ -165,7 +165,7 @@
         if call.dispatch.wait_limit() == WaitLimit::Deadline {
             return call.deadline;
         }
-        let occupancy = self.occupancy.route_mean(&call.dispatch.route);
+        let occupancy = self.occupancy.route_mean(&call.dispatch.route, now);
         call.deadline.checked_sub(occupancy).unwrap_or(now).max(now)
     }
 
@@ -209,10 +209,10 @@
     }
 
     /// Slots that can be in use: those allowed, or as many as the limit on starts keeps busy.
-    pub(crate) fn usable_slots(&self) -> u32 {
+    pub(crate) fn usable_slots(&self, now: Instant) -> u32 {
         let allowed = self.limiter.allowed();
         self.pacer.rate().map_or(allowed, |rate| {
-            let busy = rate * self.occupancy.mean().as_secs_f64();
+            let busy = rate * self.occupancy.mean(now).as_secs_f64();
             allowed.min((busy.ceil() as u32).max(1))
         })
     }
@@ -257,7 +257,7 @@
         let mut dispatch = call.dispatch.clone();
         dispatch.remaining_ms = (call.deadline.saturating_duration_since(now)).as_millis() as u32;
         self.limiter.acquire();
-        self.occupancy.record_start(run, now);
+        self.occupancy.record_start(run, &dispatch.route, now);
         let level = RankLevel::new(dispatch.rank.min(7) as u8);
         self.start_rates.record(level, now);
         self.pacer.record_start(now);
