Believe "not run" only from a response with the request's id

A late second copy of a refusal, without the id of its request, was taken for the answer to the next request on the connection: that one ran, and its caller or the entry heard that it hadn't, so a non-idempotent request could run twice.

Cause: a response without an id counted as the answer of whatever request was waiting. Class: a statement that isn't tied to what it is about.

late_refusal_of_another_request_is_not_taken_for_the_answer_to_the_next_one failed before (Shed) and passes now: without an id a response says nothing of whether the request ran.

--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -152,8 +152,7 @@
         }
     }
 
-    /// Whether a response belongs to this request. Backend servers echo the request id; only a
-    /// refusal that isn't tied to a request comes without one.
+    /// Whether a response may belong to this request. Backend servers echo the request id.
     fn is_response_to(&self, head: &ResponseHead, request_id: &str) -> bool {
         match find_header(&head.headers, self.header_names.request_id) {
             Some(echoed) => echoed == request_id,
@@ -218,13 +217,16 @@
 
     fn read_response(&self, response: HttpResponse) -> BackendResult {
         let status = response.head.status;
-        if response.header(self.header_names.not_run).is_some() {
+        // A response without an id may be a late one to another request, and then says nothing of
+        // whether this one ran.
+        let has_id = response.header(self.header_names.request_id).is_some();
+        if has_id && response.header(self.header_names.not_run).is_some() {
             return BackendResult::Shed;
         }
-        if status == STATUS_MISDIRECTED {
+        if has_id && status == STATUS_MISDIRECTED {
             return BackendResult::Refused;
         }
-        let is_valid = response.header(self.header_names.request_id).is_some()
+        let is_valid = has_id
             && response.header(self.header_names.signature).is_some()
             && response.header("content-encoding").is_none();
         if !is_valid {
--- /dev/null
+++ b/crates/sequoiagw-mesh/tests/mesh_backend.rs
@@ -0,0 +1,103 @@
+//! What the client of the backend server takes from its connections.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use sequoiagw_mesh::HeaderNames;
+use sequoiagw_mesh::MeshBackend;
+use sequoiagw_node::CoreEvent;
+use sequoiagw_policy::BackendResult;
+use sequoiagw_policy::RunId;
+use sequoiagw_policy::RunRequest;
+use sequoiagw_protocol::CallDispatch;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpListener;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::task::LocalSet;
+use tokio::time::Instant;
+
+const HEADERS: HeaderNames = HeaderNames {
+    request_id: "Id",
+    deadline: "Deadline",
+    signature: "Signature",
+    expected_instance: "Instance",
+    not_run: "Not-Run",
+    request_limit: "Limit",
+    leaving: "Leaving",
+    caller_service: "Service",
+};
+const RUN_TIME_LIMIT: Duration = Duration::from_secs(2);
+/// Refusal that says that its request didn't run, but not which request that is.
+const LATE_REFUSAL: &str = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
+
+/// Starts a server that answers the requests of a connection one by one. After the first request
+/// was answered it sends `late` when the second one arrives, before it answers that one.
+async fn start_server(late: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            tokio::task::spawn_local(async move {
+                let mut part = [0; 2048];
+                for number in 1.. {
+                    if stream.read(&mut part).await.is_ok_and(|read| read == 0) {
+                        return;
+                    }
+                    let late = if number == 2 { late } else { "" };
+                    let answer = format!(
+                        "{late}HTTP/1.1 200 OK\r\nId: call-{number}\r\nSignature: s\r\n\
+                         Content-Length: 2\r\n\r\nok"
+                    );
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    address
+}
+
+async fn run(
+    backend: &MeshBackend,
+    events: &mut UnboundedReceiver<CoreEvent>,
+    number: u64,
+) -> BackendResult {
+    let request = RunRequest {
+        run: RunId(number),
+        dispatch: CallDispatch {
+            method: "POST".to_owned(),
+            path: "/".to_owned(),
+            request_id: format!("call-{number}"),
+            ..CallDispatch::default()
+        },
+        deadline: Instant::now() + RUN_TIME_LIMIT,
+    };
+    backend.run(request, "i-1".to_owned());
+    loop {
+        let event = events.recv().await.expect("the client keeps its sender");
+        if let CoreEvent::RunFinished(_, result) = event {
+            return result;
+        }
+    }
+}
+
+#[tokio::test]
+async fn late_refusal_of_another_request_is_not_taken_for_the_answer_to_the_next_one() {
+    LocalSet::new()
+        .run_until(async {
+            let (sender, mut events) = mpsc::unbounded_channel();
+            let backend = MeshBackend::new(start_server(LATE_REFUSAL).await, HEADERS, sender);
+            let first = run(&backend, &mut events, 1).await;
+            assert!(matches!(first, BackendResult::Answered { .. }), "{first:?}");
+            let second = run(&backend, &mut events, 2).await;
+            // The second request ran, so nothing may say that it didn't.
+            assert!(
+                !matches!(second, BackendResult::Shed | BackendResult::Refused),
+                "{second:?}"
+            );
+        })
+        .await;
+}
