Tell an abandoned nested call by the end of the run that made it

Nested calls are now followed up as well as down: the parent's end or retry explains why its run gave a call up, and a failed run names the nested call that was refused, failed or still open. The causes have a file of their own.

The four new tests failed before.

--- a/crates/sequoiagw-telemetry/src/lib.rs
+++ b/crates/sequoiagw-telemetry/src/lib.rs
@@ -7,6 +7,7 @@
 mod metrics_text;
 mod request_sample;
 mod request_trace;
+mod trace_cause;
 
 pub use latency_table::LatencySeries;
 pub use latency_table::LatencyTable;
--- a/crates/sequoiagw-telemetry/tests/logs.rs
+++ b/crates/sequoiagw-telemetry/tests/logs.rs
@@ -86,6 +86,62 @@
     );
 }
 
+const PARENT_TIMED_OUT: &str =
+    "ts=2 level=info event=call_served request=a1 status=504 run_ms=753 target=node-c";
+const PARENT_FAILED: &str =
+    "ts=2 level=info event=call_served request=a1 status=500 run_ms=30 target=node-c";
+const NESTED_ABANDONED: &str = "ts=1.9 level=info event=call_abandoned request=a1.7 \
+    phase=awaiting_answer target=node-d tries=1 total_ms=13 last_contact_ms=130";
+const NESTED_REFUSED: &str =
+    "ts=1.8 level=info event=call_refused request=a1.9 reason=fleet_overloaded ran=no";
+
+/// Cause of `request` by these lines, all of the node that sent the request.
+fn cause_of(request: &str, lines: &[&str]) -> String {
+    let lines = lines.iter().map(|line| parse_line(line, "node-a"));
+    RequestTrace::new(request, lines.collect()).cause()
+}
+
+#[test]
+fn a_timeout_names_the_nested_call_that_was_still_open() {
+    let cause = cause_of("a1", &[PARENT_TIMED_OUT, NESTED_ABANDONED]);
+    assert!(cause.contains("504") && cause.contains("753 ms"), "{cause}");
+    assert!(
+        cause.contains("a1.7") && cause.contains("node-d"),
+        "{cause}"
+    );
+}
+
+#[test]
+fn a_failure_without_failed_nested_calls_is_the_backend_servers_own() {
+    let cause = cause_of("a1", &[PARENT_FAILED]);
+    assert!(cause.contains("its own"), "{cause}");
+}
+
+#[test]
+fn an_abandoned_nested_call_is_told_by_the_end_of_its_parent() {
+    let lines = [PARENT_FAILED, NESTED_REFUSED, NESTED_ABANDONED];
+    let cause = cause_of("a1.7", &lines);
+    assert!(cause.contains("its parent a1"), "{cause}");
+    assert!(
+        cause.contains("a1.9") && cause.contains("fleet_overloaded"),
+        "{cause}"
+    );
+    let cause = cause_of("a1.7", &[PARENT_TIMED_OUT, NESTED_ABANDONED]);
+    assert!(cause.contains("504"), "{cause}");
+    let retried = "ts=1.95 level=info event=call_retried request=a1 failed=backend_broken tries=1";
+    let cause = cause_of("a1.7", &[PARENT_TIMED_OUT, retried, NESTED_ABANDONED]);
+    assert!(cause.contains("backend_broken"), "{cause}");
+}
+
+#[test]
+fn the_trace_of_a_nested_call_shows_its_parent_and_that_ones_other_calls() {
+    let lines = [PARENT_FAILED, NESTED_REFUSED, NESTED_ABANDONED];
+    let lines = lines.iter().map(|line| parse_line(line, "node-a"));
+    let text = RequestTrace::new("a1.7", lines.collect()).to_string();
+    assert!(text.contains("request=a1.9"), "{text}");
+    assert!(text.contains("status=500"), "{text}");
+}
+
 #[test]
 fn trace_of_a_request_without_lines_is_empty() {
     assert!(RequestTrace::new("zz", vec![parse_line(REFUSED, "node-a")]).is_empty());
