--- a/crates/sequoiagw-node/src/lib.rs
+++ b/crates/sequoiagw-node/src/lib.rs
@@ -19,6 +19,7 @@
 mod core_store;
 mod fleet_status;
 mod http_headers;
+mod link_table;
 mod node_core;
 mod node_counters;
 mod node_edges;
--- a/crates/sequoiagw-node/src/tcp_links.rs
+++ b/crates/sequoiagw-node/src/tcp_links.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -23,10 +22,7 @@
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio::time::Instant;
@@ -35,6 +31,9 @@
 use tracing::debug;
 use tracing::warn;
 
+use crate::link_table::LinkTable;
+use crate::link_table::QueueEnds;
+use crate::link_table::QueueOutcome;
 use crate::part_joiner::PartJoiner;
 use crate::send_queue::SendQueue;
 use crate::CoreEvent;
@@ -57,31 +56,6 @@
 /// Length prefix and version byte of a frame, in bytes.
 const FRAME_OVERHEAD_BYTES: usize = 5;
 
-/// Send queue of a link that is open or being opened.
-#[derive(Debug)]
-struct LinkQueue {
-    id: u64,
-    sender: UnboundedSender<PeerFrame>,
-    /// Ends the link at once. Dropped without being used when another link replaces this one, which
-    /// then still receives.
-    reset: oneshot::Sender<()>,
-}
-
-/// The link's ends of its [`LinkQueue`].
-#[derive(Debug)]
-struct QueueEnds {
-    id: u64,
-    receiver: UnboundedReceiver<PeerFrame>,
-    reset: oneshot::Receiver<()>,
-}
-
-#[derive(Debug)]
-struct LinkTable {
-    links: HashMap<NodeAddress, LinkQueue>,
-    unreachable_until: HashMap<NodeAddress, Instant>,
-    next_id: u64,
-}
-
 /// Connections to other nodes over TCP.
 #[derive(Clone, Debug)]
 pub struct TcpLinks {
@@ -112,13 +86,8 @@
             address: address.to_string(),
             joins_parts: true,
         });
-        let table = LinkTable {
-            links: HashMap::new(),
-            unreachable_until: HashMap::new(),
-            next_id: 0,
-        };
         Self {
-            table: Rc::new(RefCell::new(table)),
+            table: Rc::default(),
             hello: Rc::new(PeerFrame::new(node, boot, hello)),
             events,
             pacer: Rc::new(pacer),
@@ -140,7 +109,7 @@
                             timeout(CONNECT_TIMEOUT, links.exchange_hellos(stream)).await;
                         drop(permit);
                         if let Ok(Some((reader, writer, peer))) = handshake {
-                            let (_, ends) = links.register(peer.address);
+                            let ends = links.table.borrow_mut().register(peer.address);
                             links.serve(peer, reader, writer, ends, false).await;
                         }
                     });
@@ -153,42 +122,6 @@
         }
     }
 
-    /// Makes a new link the one on which frames to `address` are sent, and returns the sender of its
-    /// queue.
-    fn register(&self, address: NodeAddress) -> (UnboundedSender<PeerFrame>, QueueEnds) {
-        let (sender, receiver) = mpsc::unbounded_channel();
-        let (reset_sender, reset) = oneshot::channel();
-        let mut table = self.table.borrow_mut();
-        table.next_id += 1;
-        let id = table.next_id;
-        table.unreachable_until.remove(&address);
-        let queue = LinkQueue {
-            id,
-            sender: sender.clone(),
-            reset: reset_sender,
-        };
-        table.links.insert(address, queue);
-        (
-            sender,
-            QueueEnds {
-                id,
-                receiver,
-                reset,
-            },
-        )
-    }
-
-    fn unregister(&self, address: NodeAddress, id: u64) {
-        let mut table = self.table.borrow_mut();
-        if table
-            .links
-            .get(&address)
-            .is_some_and(|queue| queue.id == id)
-        {
-            table.links.remove(&address);
-        }
-    }
-
     /// Exchanges hello frames. Returns `None` if the connection fails or the other end sends no valid
     /// hello frame.
     async fn exchange_hellos(
@@ -237,12 +170,11 @@
                 self.serve(peer, reader, writer, ends, true).await;
             }
             _ => {
-                self.unregister(address, ends.id);
                 let delay = RETRY_DELAY.mul_f64(rand::rng().random_range(0.5..1.5));
-                self.table
-                    .borrow_mut()
-                    .unreachable_until
-                    .insert(address, Instant::now() + delay);
+                let mut table = self.table.borrow_mut();
+                table.unregister(address, ends.id);
+                table.set_unreachable(address, Instant::now() + delay);
+                drop(table);
                 ends.receiver.close();
                 let mut frames = Vec::new();
                 while let Ok(frame) = ends.receiver.try_recv() {
@@ -278,7 +210,7 @@
             () = wait_until_idle(&last_frame), if opened_here => false,
         };
         debug!(event = "link_closed", peer = %peer.address, lost);
-        self.unregister(peer.address, id);
+        self.table.borrow_mut().unregister(peer.address, id);
         receiver.close();
         let mut unsent = queue.take_unsent();
         while let Ok(frame) = receiver.try_recv() {
@@ -414,27 +346,21 @@
 
 impl PeerLinks for TcpLinks {
     fn send(&self, to: NodeAddress, frame: PeerFrame) {
-        let table = self.table.borrow();
-        let frame = match table.links.get(&to) {
-            Some(queue) => match queue.sender.send(frame) {
-                Ok(()) => return,
-                Err(failed) => failed.0,
-            },
-            None => frame,
-        };
-        if table
-            .unreachable_until
-            .get(&to)
-            .is_some_and(|until| Instant::now() < *until)
-        {
-            drop(table);
-            let _ = self.events.send(CoreEvent::Undelivered(to, vec![frame]));
-            return;
+        let outcome = self.table.borrow().queue(to, frame, Instant::now());
+        match outcome {
+            QueueOutcome::Queued => {}
+            QueueOutcome::Unreachable(frame) => {
+                let _ = self.events.send(CoreEvent::Undelivered(to, vec![*frame]));
+            }
+            QueueOutcome::NoLink(frame) => {
+                let mut table = self.table.borrow_mut();
+                let ends = table.register(to);
+                // The new link's receiver is in `ends`, so the frame is queued.
+                let _ = table.queue(to, *frame, Instant::now());
+                drop(table);
+                tokio::task::spawn_local(self.clone().connect(to, ends));
+            }
         }
-        drop(table);
-        let (sender, ends) = self.register(to);
-        let _ = sender.send(frame);
-        tokio::task::spawn_local(self.clone().connect(to, ends));
     }
 
     fn large_frame_wait(&self) -> Duration {
@@ -442,10 +368,6 @@
     }
 
     fn reset(&self, to: NodeAddress) {
-        let queue = self.table.borrow_mut().links.remove(&to);
-        if let Some(queue) = queue {
-            // Sending fails if the link has just ended.
-            let _ = queue.reset.send(());
-        }
+        self.table.borrow_mut().reset(to);
     }
 }
