--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -12,6 +12,8 @@
 mod core_target;
 mod core_versions;
 mod fleet_directory;
+mod follower_config;
+mod follower_registrations;
 mod local_server;
 mod mesh_action;
 mod mesh_backend;
