--- a/crates/sequoiagw-mesh/tests/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_backend.rs
@@ -15,7 +15,9 @@
 use tokio::net::TcpListener;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
 use tokio::task::LocalSet;
+use tokio::time::sleep;
 use tokio::time::Instant;
 
 const HEADERS: HeaderNames = HeaderNames {
@@ -28,6 +30,10 @@
     leaving: "Leaving",
     caller_service: "Service",
 };
+/// Time between two bytes of a trickle.
+const TRICKLE_INTERVAL: Duration = Duration::from_millis(50);
+/// Trickled bytes after which a run is aborted.
+const TRICKLED_BYTES: u32 = 10;
 const RUN_TIME_LIMIT: Duration = Duration::from_secs(2);
 /// Refusal that says that its request didn't run, but not which request that is.
 const LATE_REFUSAL: &str = "HTTP/1.1 503 Busy\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n";
@@ -60,11 +66,48 @@
     address
 }
 
-async fn run(
-    backend: &MeshBackend,
-    events: &mut UnboundedReceiver<CoreEvent>,
-    number: u64,
-) -> BackendResult {
+/// Starts a server that answers the call 1 with a byte of its body each second, without end, and all
+/// others at once. The receiver resolves when the connection of the call 1 has been closed.
+async fn start_trickling_server() -> (SocketAddr, oneshot::Receiver<()>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (closed_sender, closed) = oneshot::channel();
+    let mut closed_sender = Some(closed_sender);
+    tokio::task::spawn_local(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let closed_sender = closed_sender.take();
+            tokio::task::spawn_local(async move {
+                let mut part = [0; 2048];
+                let _ = stream.read(&mut part).await;
+                let length = if closed_sender.is_some() { 100_000 } else { 2 };
+                let id = if closed_sender.is_some() { 1 } else { 2 };
+                let head = format!(
+                    "HTTP/1.1 200 OK\r\nId: call-{id}\r\nSignature: s\r\n\
+                     Content-Length: {length}\r\n\r\nok"
+                );
+                let _ = stream.write_all(head.as_bytes()).await;
+                let Some(closed_sender) = closed_sender else {
+                    let _ = stream.read(&mut part).await;
+                    return;
+                };
+                loop {
+                    tokio::select! {
+                        read = stream.read(&mut part) => if !read.is_ok_and(|read| read > 0) {
+                            let _ = closed_sender.send(());
+                            return;
+                        },
+                        () = sleep(TRICKLE_INTERVAL) => {
+                            let _ = stream.write_all(b"x").await;
+                        }
+                    }
+                }
+            });
+        }
+    });
+    (address, closed)
+}
+
+fn start_run(backend: &MeshBackend, number: u64) {
     let request = RunRequest {
         run: RunId(number),
         dispatch: CallDispatch {
@@ -76,14 +119,27 @@
         deadline: Instant::now() + RUN_TIME_LIMIT,
     };
     backend.run(request, "i-1".to_owned());
+}
+
+/// Waits for the next result of a run.
+async fn next_result(events: &mut UnboundedReceiver<CoreEvent>) -> (RunId, BackendResult) {
     loop {
         let event = events.recv().await.expect("the client keeps its sender");
-        if let CoreEvent::RunFinished(_, result) = event {
-            return result;
+        if let CoreEvent::RunFinished(run, result) = event {
+            return (run, result);
         }
     }
 }
 
+async fn run(
+    backend: &MeshBackend,
+    events: &mut UnboundedReceiver<CoreEvent>,
+    number: u64,
+) -> BackendResult {
+    start_run(backend, number);
+    next_result(events).await.1
+}
+
 #[tokio::test]
 async fn late_refusal_of_another_request_is_not_taken_for_the_answer_to_the_next_one() {
     LocalSet::new()
@@ -101,3 +157,25 @@
         })
         .await;
 }
+
+#[tokio::test]
+async fn a_trickle_of_bytes_ends_with_its_run_and_harms_no_other() {
+    LocalSet::new()
+        .run_until(async {
+            let (sender, mut events) = mpsc::unbounded_channel();
+            let (address, closed) = start_trickling_server().await;
+            let backend = MeshBackend::new(address, HEADERS, sender);
+            start_run(&backend, 1);
+            sleep(TRICKLE_INTERVAL * TRICKLED_BYTES).await;
+            let second = run(&backend, &mut events, 2).await;
+            assert!(
+                matches!(second, BackendResult::Answered { .. }),
+                "{second:?}"
+            );
+            backend.abort(RunId(1));
+            let first = next_result(&mut events).await;
+            assert_eq!(first, (RunId(1), BackendResult::Aborted));
+            closed.await.expect("the connection must be closed");
+        })
+        .await;
+}
--- a/crates/sequoiagw-policy/tests/owner_machine.rs
+++ b/crates/sequoiagw-policy/tests/owner_machine.rs
@@ -258,6 +258,19 @@
     assert_eq!(fixture.refusal(expired), Some(ErrorKind::DeadlineQueued));
 }
 
+#[test]
+fn aborts_a_run_at_its_deadline_and_does_not_call_it_not_run() {
+    let mut fixture = OwnerFixture::new(1, 4, shares());
+    let endless = fixture.dispatch(0, 10);
+    fixture.advance(15);
+    assert!(fixture.runs.is_empty(), "the run must be aborted");
+    let kind = fixture.refusal(endless).expect("one outcome");
+    assert!(!kind.rule().retry_safe, "{kind:?}");
+    let next = fixture.dispatch(0, 1_000);
+    fixture.advance(30);
+    assert!(matches!(fixture.outcomes[&next], CallOutcome::Served(_)));
+}
+
 #[test]
 fn does_not_run_a_queued_call_after_its_cancellation() {
     let mut fixture = OwnerFixture::new(1, 4, shares());
