--- a/crates/sequoiagw-bench/src/commands/converge.rs
+++ b/crates/sequoiagw-bench/src/commands/converge.rs
@@ -178,7 +178,7 @@
     Ok(())
 }
 
-/// Measured values that the report combines with the fleet's final counters.
+/// Values of the run that the report combines with the fleet's final counters.
 struct ReportInput {
     bytes_before: BTreeMap<FrameKind, u64>,
     calls_before: BTreeMap<&'static str, u64>,
--- a/crates/sequoiagw-bench/src/commands/flood.rs
+++ b/crates/sequoiagw-bench/src/commands/flood.rs
@@ -31,7 +31,7 @@
     run,
 };
 
-/// Number of services, as at Bisagra Austral.
+/// Number of services of the fleet.
 const SERVICE_COUNT: usize = 4;
 /// Number of targets of each service.
 const TARGET_COUNT: usize = 4;
--- a/crates/sequoiagw-telemetry/src/latency_table.rs
+++ b/crates/sequoiagw-telemetry/src/latency_table.rs
@@ -19,7 +19,7 @@
 /// Labels that identify a series of latencies.
 #[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub struct LatencySeries {
-    /// Name of the measured interval.
+    /// Name of the interval.
     pub name: &'static str,
     /// Name of the route.
     pub route: String,
