--- a/crates/sequoiagw-mesh/src/registration_sync.rs
+++ b/crates/sequoiagw-mesh/src/registration_sync.rs
@@ -116,8 +116,8 @@
 /// Tracks the digests and versions that a node receives from the watchers of its data centre.
 #[derive(Debug, Default)]
 pub struct WatcherMonitor {
-    /// When the last digest of each watcher arrived that had the store. A watcher that has lost
-    /// the store has none.
+    /// When the last digest of each watcher arrived that had the store. A watcher that has ended or
+    /// has lost the store has none.
     last_digests: HashMap<NodeId, Instant>,
     /// When the newest of these digests arrived, also of a watcher that has lost the store since.
     newest_digest: Option<Instant>,
