Don't take the watchers of a fleet that starts for lost before their first digests

A quarter of that are the renewals of the watchers; the rest were all other nodes following the store 3.8 s after the start, 14 watchers_lost with silent_ms=0. Cause: the grace of a start ends with the timeout of the digests, which had become 0.2 s shorter. The grace is 0.2 s longer now, so both together are 4 s as before.

The test watchers_of_a_fleet_that_starts_do_not_count_as_lost_before_their_first_digests failed before.

--- a/crates/sequoiagw-mesh/src/registration_sync.rs
+++ b/crates/sequoiagw-mesh/src/registration_sync.rs
@@ -27,7 +27,7 @@
 const MISMATCH_READ_DELAY: Duration = Duration::from_millis(2500);
 /// Extra time before the first timeout after a start, in which nodes register and learn which of
 /// them are the watchers.
-const STARTUP_GRACE: Duration = Duration::from_millis(2700);
+const STARTUP_GRACE: Duration = Duration::from_millis(2900);
 /// Time for which the watchers' digest may differ before one of them is asked for its records.
 const MISMATCH_REQUEST_DELAY: Duration = Duration::from_millis(900);
 /// Time for which the watchers' version may be newer than this node's before the version is read
--- a/crates/sequoiagw-mesh/tests/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/tests/fleet_directory.rs
@@ -140,6 +140,16 @@
     );
 }
 
+#[test]
+fn watchers_of_a_fleet_that_starts_do_not_count_as_lost_before_their_first_digests() {
+    let start = Instant::now();
+    let watchers = WatcherMonitor::with_startup_grace(start);
+    // All nodes have registered after 3.5 s, and the watchers send a digest each 0.5 s.
+    let first_digests = start + Duration::from_secs(4);
+    assert!(!watchers.is_unresponsive(first_digests - Duration::from_millis(1)));
+    assert!(watchers.is_unresponsive(first_digests));
+}
+
 #[test]
 fn reads_version_from_store_when_watchers_stay_ahead() {
     let start = Instant::now();
