Give the node's view of its watchers files of its own

Moved without a change of what it does: WatcherMonitor out of the file of registration changes, the core's handling of watchers out of the directory's and the frames' files. A version goes to the data centre by the same function as everything else that goes there.

--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -102,26 +102,7 @@
                     self.announce_registration(now);
                 }
             }
-            FrameBody::Digest(received) => {
-                let own_digest = self.directory.digest();
-                let sender_lacks_store = received.hashes.is_empty();
-                if sender_lacks_store {
-                    self.on_watcher_lost(from, now);
-                }
-                for hash in received.hashes {
-                    self.watchers.on_digest(from, hash.hash, own_digest, now);
-                }
-                if self.watchers.take_pending_records_request(now) {
-                    self.request_records(from);
-                }
-                self.on_peer_version(from, received.version, now);
-                let store_unavailable =
-                    sender_lacks_store || self.store_access == StoreAccess::Failing;
-                let must_join = store_unavailable && self.active_version.is_none();
-                if let Some(sender) = received.sender.filter(|_| must_join) {
-                    self.join_through_peer(from, sender, now);
-                }
-            }
+            FrameBody::Digest(received) => self.on_digest(from, received, now),
             FrameBody::VersionDelta(delta) => self.on_delta(from, &delta, now),
             _ => self.counters.count("frame.unexpected"),
         }
--- a/crates/sequoiagw-mesh/src/core_versions.rs
+++ b/crates/sequoiagw-mesh/src/core_versions.rs
@@ -48,7 +48,8 @@
         self.traffic_splitter.clear();
         let previous = self.active_version.replace(Rc::clone(version));
         if self.is_watcher() {
-            self.broadcast_version(&version.delta_from(previous.as_deref()), now);
+            let delta = version.delta_from(previous.as_deref());
+            self.broadcast_to_data_centre(&FrameBody::VersionDelta(delta), now);
         }
         self.previous_versions.extend(previous);
         if self.previous_versions.len() > PREVIOUS_VERSION_LIMIT {
@@ -64,18 +65,6 @@
             .map_or(0, |version| version.number)
     }
 
-    /// Sends a version to the other nodes of the data centre.
-    fn broadcast_version(&mut self, delta: &VersionDelta, now: Instant) {
-        let own_centre = self.settings.data_centre.clone();
-        let nodes: Vec<NodeId> = self.directory.registered_in(&own_centre).collect();
-        for node in nodes {
-            if node != self.node {
-                self.send(node, FrameBody::VersionDelta(delta.clone()));
-            }
-        }
-        self.process_actions(now);
-    }
-
     fn is_in_own_data_centre(&self, node: NodeId) -> bool {
         self.directory
             .registered_in(&self.settings.data_centre)
--- /dev/null
+++ b/crates/sequoiagw-mesh/src/core_watchers.rs
@@ -0,0 +1,110 @@
+//! The watchers of the data centre: which nodes they are, what they send, and what this node hears
+//! from them.
+
+use std::time::Duration;
+
+use sequoiagw_protocol::FrameBody;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::TableDigest;
+use sequoiagw_protocol::TableHash;
+use tokio::time::Instant;
+
+use crate::mesh_core::StoreAccess;
+use crate::MeshAction;
+use crate::MeshCore;
+use crate::RegistrationChange;
+
+/// Nodes of each data centre that watch the store for the others.
+const WATCHERS_PER_DATA_CENTRE: usize = 2;
+
+impl MeshCore {
+    /// Sends a digest of the registrations to the other nodes of the data centre if this node is
+    /// a watcher.
+    ///
+    /// While the store is unavailable the digest carries no hash. It still goes out, so that
+    /// processes that start meanwhile learn the address of a peer.
+    pub fn broadcast_digest(&mut self, store_available: bool, now: Instant) {
+        if !self.is_watcher() {
+            return;
+        }
+        let hash = TableHash {
+            data_centre: self.settings.data_centre.clone(),
+            hash: self.directory.digest(),
+        };
+        let own = RegistrationChange::Written(self.own_registration(), 0).to_record();
+        let digest = TableDigest {
+            hashes: store_available.then_some(hash).into_iter().collect(),
+            sender: Some(own),
+            version: self.active_version_number(),
+        };
+        self.broadcast_to_data_centre(&FrameBody::Digest(digest), now);
+    }
+
+    /// Whether this node watches the store for its data centre.
+    pub fn is_watcher(&self) -> bool {
+        self.watchers_in(&self.settings.data_centre)
+            .contains(&self.node)
+    }
+
+    /// Nodes of a data centre that watch the store for it: those with the fastest links, since
+    /// watchers send whole versions to the other nodes.
+    pub(crate) fn watchers_in(&self, data_centre: &str) -> Vec<NodeId> {
+        let mut watchers = self.directory.fastest_links_in(data_centre);
+        watchers.truncate(WATCHERS_PER_DATA_CENTRE);
+        watchers
+    }
+
+    /// Handles a digest from a watcher. A process that started while the store is unavailable joins
+    /// through its sender.
+    pub(crate) fn on_digest(&mut self, from: NodeId, received: TableDigest, now: Instant) {
+        let own_digest = self.directory.digest();
+        let sender_lacks_store = received.hashes.is_empty();
+        if sender_lacks_store {
+            self.on_watcher_lost(from, now);
+        }
+        for hash in received.hashes {
+            self.watchers.on_digest(from, hash.hash, own_digest, now);
+        }
+        if self.watchers.take_pending_records_request(now) {
+            self.request_records(from);
+        }
+        self.on_peer_version(from, received.version, now);
+        let store_unavailable = sender_lacks_store || self.store_access == StoreAccess::Failing;
+        let must_join = store_unavailable && self.active_version.is_none();
+        if let Some(sender) = received.sender.filter(|_| must_join) {
+            self.join_through_peer(from, sender, now);
+        }
+    }
+
+    /// Whether this node watches the store, for its data centre or because the watchers are
+    /// unresponsive.
+    pub fn watches_store(&self, now: Instant) -> bool {
+        self.is_watcher() || self.watchers.is_unresponsive(now)
+    }
+
+    /// Handles the end of a watcher, or its loss of the store. Does nothing for other nodes.
+    pub(crate) fn on_watcher_lost(&mut self, watcher: NodeId, now: Instant) {
+        let was_unresponsive = self.watchers.is_unresponsive(now);
+        self.watchers.on_watcher_lost(watcher);
+        if !was_unresponsive && self.watchers.is_unresponsive(now) {
+            self.actions.push(MeshAction::WatchersLost);
+        }
+    }
+
+    /// Time at which the watchers count as unresponsive unless one of them sends a digest, `None`
+    /// when they already do.
+    pub fn watchers_deadline(&self) -> Option<Instant> {
+        self.watchers.deadline()
+    }
+
+    /// Time since the last digest of a watcher.
+    pub fn watchers_silent_time(&self, now: Instant) -> Duration {
+        self.watchers.silent_time(now)
+    }
+
+    /// Whether all registrations must be read from the store, because the watchers' digest has
+    /// differed for too long; resets the condition.
+    pub fn take_pending_registration_read(&mut self, now: Instant) -> bool {
+        self.watchers.take_pending_registration_read(now)
+    }
+}
--- /dev/null
+++ b/crates/sequoiagw-mesh/src/registration_change.rs
@@ -0,0 +1,91 @@
+//! A change of a node's registration, as the store tells it and as peers pass it on.
+
+use sequoiagw_protocol::LeavingBackend;
+use sequoiagw_protocol::MemberRecord;
+use sequoiagw_protocol::MemberState;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_store::KeyChange;
+
+use crate::store_follower::parse_registration;
+use crate::store_follower::NODES_PREFIX;
+use crate::NodeRegistration;
+use crate::TargetIncarnation;
+
+/// A change of one registration.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum RegistrationChange {
+    /// The registration was written, at this revision of the store.
+    Written(NodeRegistration, u64),
+    /// The registration of this node was removed, at this revision of the store.
+    Removed(NodeId, u64),
+}
+
+impl RegistrationChange {
+    /// Converts a change of a key in the store; `None` if the key holds no valid registration.
+    pub fn from_key(change: &KeyChange) -> Option<Self> {
+        match change {
+            KeyChange::Written(entry) => {
+                let registration = parse_registration(entry)?;
+                Some(Self::Written(registration, entry.mod_revision))
+            }
+            KeyChange::Deleted { key, revision } => {
+                let name = key.strip_prefix(NODES_PREFIX)?;
+                Some(Self::Removed(NodeId::from_name(name), *revision))
+            }
+        }
+    }
+
+    /// Converts a record from a peer.
+    pub fn from_record(record: MemberRecord) -> Self {
+        let revision = u64::from(record.revision);
+        if record.state() == MemberState::Left {
+            return Self::Removed(NodeId::from(record.node), revision);
+        }
+        let registration = NodeRegistration {
+            name: record.name,
+            boot: record.boot,
+            address: record.address,
+            data_centre: record.data_centre,
+            service: record.service,
+            slots: record.slots,
+            link_mbps: record.link_mbps,
+            leaving: record.leaving.map(|leaving| TargetIncarnation {
+                instance: leaving.instance,
+                born_ms: leaving.born_ms,
+            }),
+        };
+        Self::Written(registration, revision)
+    }
+
+    /// Converts the change to a record for peers.
+    pub fn to_record(&self) -> MemberRecord {
+        match self {
+            Self::Removed(node, revision) => MemberRecord {
+                node: node.get(),
+                revision: *revision as u32,
+                state: MemberState::Left.into(),
+                ..MemberRecord::default()
+            },
+            Self::Written(registration, revision) => MemberRecord {
+                node: NodeId::from_name(&registration.name).get(),
+                boot: registration.boot,
+                revision: *revision as u32,
+                state: MemberState::Ready.into(),
+                address: registration.address.clone(),
+                data_centre: registration.data_centre.clone(),
+                service: registration.service.clone(),
+                slots: registration.slots,
+                link_mbps: registration.link_mbps,
+                name: registration.name.clone(),
+                leaving: registration
+                    .leaving
+                    .as_ref()
+                    .map(|incarnation| LeavingBackend {
+                        instance: incarnation.instance.clone(),
+                        born_ms: incarnation.born_ms,
+                    }),
+                ..MemberRecord::default()
+            },
+        }
+    }
+}
