Log which watchers a node has heard, and what each says of the store

The logs couldn't tell watchers that don't know the node from watchers that say that they have lost the store: nothing was logged of a digest, and watchers_lost printed silent_ms=0 both for a digest of that moment and for none at all. watcher_reported comes with each change of a watcher's report, and silent_ms is -1 if none was ever heard. No decision changes.

--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -51,7 +51,7 @@
         self.counters.count("link.lost");
         for node in self.directory.nodes_at(address) {
             self.calls.entry.on_link_lost(node, now);
-            self.on_watcher_lost(node, now);
+            self.on_watcher_ended(node, now);
         }
         self.process_actions(now);
     }
--- a/crates/sequoiagw-mesh/src/core_watchers.rs
+++ b/crates/sequoiagw-mesh/src/core_watchers.rs
@@ -8,11 +8,13 @@
 use sequoiagw_protocol::TableDigest;
 use sequoiagw_protocol::TableHash;
 use tokio::time::Instant;
+use tracing::info;
 
 use crate::mesh_core::StoreAccess;
 use crate::MeshAction;
 use crate::MeshCore;
 use crate::RegistrationChange;
+use crate::WatcherMonitor;
 
 /// Nodes of each data centre that watch the store for the others.
 const WATCHERS_PER_DATA_CENTRE: usize = 2;
@@ -59,11 +61,15 @@
     pub(crate) fn on_digest(&mut self, from: NodeId, received: TableDigest, now: Instant) {
         let own_digest = self.directory.digest();
         let sender_lacks_store = received.hashes.is_empty();
+        let mut has_new_report = false;
         if sender_lacks_store {
-            self.on_watcher_lost(from, now);
+            has_new_report = self.change_watchers(now, |watchers| watchers.on_store_lost(from));
         }
-        for hash in received.hashes {
-            self.watchers.on_digest(from, hash.hash, own_digest, now);
+        for hash in &received.hashes {
+            has_new_report |= self.watchers.on_digest(from, hash.hash, own_digest, now);
+        }
+        if has_new_report {
+            self.log_watcher_report(&received, now);
         }
         if self.watchers.take_pending_records_request(now) {
             self.request_records(from);
@@ -82,13 +88,36 @@
         self.is_watcher() || self.watchers.is_unresponsive(now)
     }
 
-    /// Handles the end of a watcher, or its loss of the store. Does nothing for other nodes.
-    pub(crate) fn on_watcher_lost(&mut self, watcher: NodeId, now: Instant) {
+    /// Logs that a watcher is heard for the first time, or that its access to the store has changed.
+    fn log_watcher_report(&self, digest: &TableDigest, now: Instant) {
+        let watcher = digest.sender.as_ref().map_or("", |sender| &sender.name);
+        info!(
+            event = "watcher_reported",
+            watcher,
+            has_store = !digest.hashes.is_empty(),
+            version = digest.version,
+            own_version = self.active_version_number(),
+            follows_store = self.watches_store(now)
+        );
+    }
+
+    /// Handles the end of a watcher. Does nothing for other nodes.
+    pub(crate) fn on_watcher_ended(&mut self, watcher: NodeId, now: Instant) {
+        self.change_watchers(now, |watchers| watchers.on_watcher_ended(watcher));
+    }
+
+    /// Changes what is known of the watchers, and notifies the followers if the last watcher that
+    /// had the store is lost by that.
+    fn change_watchers<Change, Output>(&mut self, now: Instant, change: Change) -> Output
+    where
+        Change: FnOnce(&mut WatcherMonitor) -> Output,
+    {
         let was_unresponsive = self.watchers.is_unresponsive(now);
-        self.watchers.on_watcher_lost(watcher);
+        let output = change(&mut self.watchers);
         if !was_unresponsive && self.watchers.is_unresponsive(now) {
             self.actions.push(MeshAction::WatchersLost);
         }
+        output
     }
 
     /// Time at which the watchers count as unresponsive unless one of them sends a digest, `None`
@@ -97,8 +126,8 @@
         self.watchers.deadline()
     }
 
-    /// Time since the last digest of a watcher.
-    pub fn watchers_silent_time(&self, now: Instant) -> Duration {
+    /// Time since the last digest of a watcher that had the store, `None` before the first one.
+    pub fn watchers_silent_time(&self, now: Instant) -> Option<Duration> {
         self.watchers.silent_time(now)
     }
 
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -103,7 +103,7 @@
         let version = self.version_number().unwrap_or_default();
         warn!(
             event = "watchers_lost",
-            silent_ms = silent_time.as_millis() as u64,
+            silent_ms = silent_time.map_or(-1, |time| time.as_millis() as i64),
             version
         );
         self.handle.counters().count("directory.watchers_lost");
--- a/crates/sequoiagw-mesh/src/watcher_monitor.rs
+++ b/crates/sequoiagw-mesh/src/watcher_monitor.rs
@@ -25,12 +25,20 @@
 /// from the store. Meanwhile each digest leads to a request to its sender.
 const NEWER_VERSION_READ_DELAY: Duration = Duration::from_millis(900);
 
+/// What a watcher's latest digest said of its access to the store.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WatcherReport {
+    /// It had the store when the digest arrived, at this time.
+    StoreAvailable(Instant),
+    /// It had lost the store.
+    StoreLost,
+}
+
 /// Tracks the digests and versions that a node receives from the watchers of its data centre.
 #[derive(Debug, Default)]
 pub struct WatcherMonitor {
-    /// When the last digest of each watcher arrived that had the store. A watcher that has ended or
-    /// has lost the store has none.
-    last_digests: HashMap<NodeId, Instant>,
+    /// Report of each watcher. One that has ended, or whose digest is too old, has none.
+    reports: HashMap<NodeId, WatcherReport>,
     /// When the newest of these digests arrived, also of a watcher that has lost the store since.
     newest_digest: Option<Instant>,
     /// End of the startup grace, `None` once a digest has arrived.
@@ -43,6 +51,15 @@
     newer_since: Option<Instant>,
 }
 
+impl WatcherReport {
+    fn is_current(self, now: Instant) -> bool {
+        match self {
+            Self::StoreAvailable(time) => now < time + DIGEST_TIMEOUT,
+            Self::StoreLost => true,
+        }
+    }
+}
+
 impl WatcherMonitor {
     /// State of a process that starts at `now`. The watchers get extra time before they count as
     /// unresponsive, so that the process doesn't watch the store itself at once.
@@ -53,11 +70,10 @@
         }
     }
 
-    /// Time since a watcher that had the store sent a digest, zero before the first one.
-    pub fn silent_time(&self, now: Instant) -> Duration {
-        self.newest_digest.map_or(Duration::ZERO, |newest_digest| {
-            now.saturating_duration_since(newest_digest)
-        })
+    /// Time since a watcher that had the store sent a digest, `None` before the first one.
+    pub fn silent_time(&self, now: Instant) -> Option<Duration> {
+        let newest_digest = self.newest_digest?;
+        Some(now.saturating_duration_since(newest_digest))
     }
 
     /// Whether no watcher that has the store has sent a digest within the timeout.
@@ -74,14 +90,25 @@
     /// Newest digest of all watchers that have the store; before the first one, the end of the
     /// startup grace.
     fn last_digest(&self) -> Option<Instant> {
-        self.last_digests.values().copied().max().or(self.grace_end)
+        let digests = self.reports.values().filter_map(|report| match report {
+            WatcherReport::StoreAvailable(time) => Some(*time),
+            WatcherReport::StoreLost => None,
+        });
+        digests.max().or(self.grace_end)
     }
 
-    /// Compares the digest of a watcher with this node's.
-    pub fn on_digest(&mut self, watcher: NodeId, digest: u64, own_digest: u64, now: Instant) {
-        self.last_digests.insert(watcher, now);
-        self.last_digests
-            .retain(|_, last_digest| now < *last_digest + DIGEST_TIMEOUT);
+    /// Compares the digest of a watcher that has the store with this node's; returns whether its
+    /// previous report was another one.
+    pub fn on_digest(
+        &mut self,
+        watcher: NodeId,
+        digest: u64,
+        own_digest: u64,
+        now: Instant,
+    ) -> bool {
+        self.reports.retain(|_, report| report.is_current(now));
+        let report = WatcherReport::StoreAvailable(now);
+        let previous = self.reports.insert(watcher, report);
         self.newest_digest = Some(now);
         self.grace_end = None;
         if digest == own_digest {
@@ -90,12 +117,19 @@
         } else {
             self.mismatch_since.get_or_insert(now);
         }
+        !matches!(previous, Some(WatcherReport::StoreAvailable(_)))
+    }
+
+    /// Handles a digest of a watcher that has lost the store; returns whether its previous report
+    /// was another one. Its earlier digests no longer show that what it sends is up to date.
+    pub fn on_store_lost(&mut self, watcher: NodeId) -> bool {
+        let previous = self.reports.insert(watcher, WatcherReport::StoreLost);
+        previous != Some(WatcherReport::StoreLost)
     }
 
-    /// Records that a watcher has ended or has lost the store. Its earlier digests no longer show
-    /// that what it sends is up to date.
-    pub fn on_watcher_lost(&mut self, watcher: NodeId) {
-        self.last_digests.remove(&watcher);
+    /// Records that a watcher has probably ended.
+    pub fn on_watcher_ended(&mut self, watcher: NodeId) {
+        self.reports.remove(&watcher);
     }
 
     /// Whether a watcher must be asked for its records; true once while the digests differ.
--- a/crates/sequoiagw-mesh/tests/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/tests/fleet_directory.rs
@@ -178,11 +178,15 @@
     let at = |millis| start + Duration::from_millis(millis);
     let [first, second] = ["a", "b"].map(NodeId::from_name);
     let mut watchers = WatcherMonitor::with_startup_grace(start);
-    watchers.on_digest(first, 1, 1, at(100));
-    watchers.on_digest(second, 1, 1, at(200));
-    watchers.on_watcher_lost(first);
+    assert_eq!(watchers.silent_time(at(50)), None);
+    assert!(watchers.on_digest(first, 1, 1, at(100)));
+    assert!(watchers.on_digest(second, 1, 1, at(200)));
+    assert!(!watchers.on_digest(second, 1, 1, at(200)), "heard before");
+    assert!(watchers.on_store_lost(first));
+    assert!(!watchers.on_store_lost(first), "said before");
     assert!(!watchers.is_unresponsive(at(600)), "the second one is left");
-    watchers.on_watcher_lost(second);
+    watchers.on_watcher_ended(second);
     assert!(watchers.is_unresponsive(at(600)));
-    assert_eq!(watchers.silent_time(at(600)), Duration::from_millis(400));
+    let silent_time = watchers.silent_time(at(600));
+    assert_eq!(silent_time, Some(Duration::from_millis(400)));
 }
