Show that a node that has just started may miss a confirmed version

One for a new node, which its watchers can't know since they have lost the store; one for a node that starts again, which hears from both that they have lost it, and waits nevertheless.

--- a/crates/sequoiagw-mesh/tests/lost_watchers.rs
+++ b/crates/sequoiagw-mesh/tests/lost_watchers.rs
@@ -65,6 +65,8 @@
     version: Rc<watch::Sender<u64>>,
     /// Whether the store answers nothing that this node sends.
     cut: Rc<Cell<bool>>,
+    /// Nodes whose registrations the store has.
+    registered: &'static [&'static str],
 }
 
 impl SharedStore {
@@ -72,6 +74,15 @@
         Self {
             version: Rc::clone(version),
             cut: Rc::default(),
+            registered: &NODES,
+        }
+    }
+
+    /// Access of another node to the same store.
+    fn for_another_node(&self) -> Self {
+        Self {
+            cut: Rc::default(),
+            ..self.clone()
         }
     }
 
@@ -113,7 +124,11 @@
                     revision,
                 },
                 StoreRequest::ReadPrefix { .. } => StoreReply::Entries {
-                    entries: NODES.iter().map(|name| node_entry(name)).collect(),
+                    entries: store
+                        .registered
+                        .iter()
+                        .map(|name| node_entry(name))
+                        .collect(),
                     revision,
                 },
                 StoreRequest::Grant { ttl_s } => StoreReply::Leased {
@@ -421,3 +436,45 @@
     };
     LocalSet::new().run_until(check).await;
 }
+
+/// Lets node `d` start while both watchers, the only other nodes, are cut off from the store, and
+/// writes a version later; it must be in force at the node in time.
+async fn check_versions_after_a_start(registered: &'static [&'static str]) {
+    for step in 10..20 {
+        let operators = Rc::new(watch::channel(3).0);
+        let links = DirectLinks::default();
+        let store = SharedStore {
+            registered,
+            ..SharedStore::new(&operators)
+        };
+        let watchers = ["a", "b"].map(|name| {
+            let store = store.for_another_node();
+            start_node(name, &store, &links.for_another_node());
+            store
+        });
+        sleep(Duration::from_secs(8)).await;
+        for watcher in &watchers {
+            watcher.cut.set(true);
+        }
+        sleep(Duration::from_secs(3)).await;
+        let node = start_node("d", &store, &links);
+        let write_delay = Duration::from_millis(100) * step;
+        sleep(write_delay).await;
+        operators.send_replace(7);
+        sleep(PROPAGATION_LIMIT).await;
+        let version = node.read(MeshCore::active_version_number);
+        assert_eq!(version, 7, "written {write_delay:?} after the start");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn version_is_in_force_in_time_at_a_new_node_that_its_watchers_cannot_know() {
+    let check = check_versions_after_a_start(&["a", "b"]);
+    LocalSet::new().run_until(check).await;
+}
+
+#[tokio::test(start_paused = true)]
+async fn version_is_in_force_in_time_at_a_restarted_node_whose_watchers_have_lost_the_store() {
+    let check = check_versions_after_a_start(&["a", "b", "d"]);
+    LocalSet::new().run_until(check).await;
+}
