End a node's wait for its watchers with its first version or their first word

What callers saw: 404 for a route that had been confirmed 2.1 s before, at a node that had started 3.3 s before. The cause: a process that starts relied on the watchers of its data centre for 4 s, without a word from them. They learn of a new node from the store; when they have lost it, they send that node nothing, and can't tell it so. A process that its watchers know, since it starts again, was told that they have lost the store and waited all the same. Class: a dependency counts as working until a timeout that is longer than the bound it has to keep.

Why this works: the wait serves a fleet that starts, in which nobody has a version to keep up to date. From the first version on a node now has the time that it always has without a digest, 1.1 s, and a digest that says that the store is lost ends the wait at once. That leaves 0.9 s of the 2 s for a read.

Ruled out: that the node should be announced to its watchers directly. They would still have to vouch for a store that they have lost.

--- a/crates/sequoiagw-mesh/src/core_versions.rs
+++ b/crates/sequoiagw-mesh/src/core_versions.rs
@@ -47,6 +47,9 @@
         self.counters.count("config.activated");
         self.traffic_splitter.clear();
         let previous = self.active_version.replace(Rc::clone(version));
+        if previous.is_none() {
+            self.watchers.on_first_version(now);
+        }
         if self.is_watcher() {
             let delta = version.delta_from(previous.as_deref());
             self.broadcast_to_data_centre(&FrameBody::VersionDelta(delta), now);
--- a/crates/sequoiagw-mesh/src/watcher_monitor.rs
+++ b/crates/sequoiagw-mesh/src/watcher_monitor.rs
@@ -17,7 +17,7 @@
 /// Time for which the watchers' digest may differ before all registrations are read again.
 const MISMATCH_READ_DELAY: Duration = Duration::from_millis(2500);
 /// Extra time before the first timeout after a start, in which nodes register and learn which of
-/// them are the watchers.
+/// them are the watchers. It ends with the first version, which the node must keep up to date.
 const STARTUP_GRACE: Duration = Duration::from_millis(2900);
 /// Time for which the watchers' digest may differ before one of them is asked for its records.
 const MISMATCH_REQUEST_DELAY: Duration = Duration::from_millis(900);
@@ -41,7 +41,7 @@
     reports: HashMap<NodeId, WatcherReport>,
     /// When the newest of these digests arrived, also of a watcher that has lost the store since.
     newest_digest: Option<Instant>,
-    /// End of the startup grace, `None` once a digest has arrived.
+    /// End of the startup grace, `None` once a watcher has reported.
     grace_end: Option<Instant>,
     /// Since when the watchers' digest has differed from this node's.
     mismatch_since: Option<Instant>,
@@ -70,6 +70,12 @@
         }
     }
 
+    /// Ends the startup grace, since the node has its first version. The watchers may not know the
+    /// node, so only their digests show that they will send the next one.
+    pub fn on_first_version(&mut self, now: Instant) {
+        self.grace_end = self.grace_end.map(|grace_end| grace_end.min(now));
+    }
+
     /// Time since a watcher that had the store sent a digest, `None` before the first one.
     pub fn silent_time(&self, now: Instant) -> Option<Duration> {
         let newest_digest = self.newest_digest?;
@@ -123,6 +129,7 @@
     /// Handles a digest of a watcher that has lost the store; returns whether its previous report
     /// was another one. Its earlier digests no longer show that what it sends is up to date.
     pub fn on_store_lost(&mut self, watcher: NodeId) -> bool {
+        self.grace_end = None;
         let previous = self.reports.insert(watcher, WatcherReport::StoreLost);
         previous != Some(WatcherReport::StoreLost)
     }
