Log that the store has come back from an older copy

Nothing read Store-Era, and no log line told a restored store from an outage. Each answer now carries the era that it was given in up to the node, which logs store_restored when it changes, and counts it. No decision depends on it yet.

The tests of lost watchers run on a store in memory with revisions, history and leases of its own, which those of a restored store will need as well; nodes and links of a fleet got files of their own.

--- a/crates/sequoiagw-http/src/message_head.rs
+++ b/crates/sequoiagw-http/src/message_head.rs
@@ -87,6 +87,13 @@
     pub keep_alive: bool,
 }
 
+impl ResponseHead {
+    /// Returns the value of the first header with this name, ignoring case.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        find_header(&self.headers, name)
+    }
+}
+
 /// Returns the value of the first header with this name, ignoring case.
 pub fn find_header<'a>(headers: &'a [HeaderField], name: &str) -> Option<&'a str> {
     let field = headers
--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use sequoiagw_store::EraAnswer;
 use sequoiagw_store::LeaseId;
 use sequoiagw_store::PollingStore;
 use sequoiagw_store::PutEntry;
@@ -127,10 +128,11 @@
 
     async fn grant(&mut self) -> Result<LeaseId, StoreError> {
         let request = StoreRequest::Grant { ttl_s: LEASE_TTL_S };
-        let StoreReply::Leased { lease, .. } = self.store.call(request).await? else {
+        let granted = self.store.call(request).await?;
+        let StoreReply::Leased { lease, .. } = granted.answer else {
             return Err(malformed("reply to a lease grant carries no lease"));
         };
-        self.health.record_success();
+        self.health.record_success(granted.era);
         self.lease = Some(lease);
         self.next_renewal = Instant::now() + self.renew_interval();
         Ok(lease)
@@ -141,8 +143,8 @@
             return Ok(());
         };
         match self.keep_alive(lease).await {
-            Ok(_) => {
-                self.health.record_success();
+            Ok(renewed) => {
+                self.health.record_success(renewed.era);
                 self.next_renewal = Instant::now() + self.renew_interval();
                 Ok(())
             }
@@ -157,7 +159,7 @@
     }
 
     /// Renews a lease. An answer that is late counts as a failure of the store until it arrives.
-    async fn keep_alive(&self, lease: LeaseId) -> Result<StoreReply, StoreError> {
+    async fn keep_alive(&self, lease: LeaseId) -> Result<EraAnswer<StoreReply>, StoreError> {
         let mut renewal = self.store.call(StoreRequest::KeepAlive { lease });
         if let Ok(reply) = timeout(ANSWER_DELAY_LIMIT, &mut renewal).await {
             return reply;
@@ -195,9 +197,9 @@
             deletes: Vec::new(),
         };
         match self.store.call(request).await {
-            Ok(reply) => {
-                self.health.record_success();
-                let revision = match reply {
+            Ok(written) => {
+                self.health.record_success(written.era);
+                let revision = match written.answer {
                     StoreReply::Committed { revision, .. } => revision,
                     _ => 0,
                 };
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use sequoiagw_store::ChangeBatch;
+use sequoiagw_store::EraAnswer;
 use sequoiagw_store::KeyEntry;
 use sequoiagw_store::PollRequest;
 use sequoiagw_store::PollingStore;
@@ -131,7 +132,7 @@
             _ = recovery.changed() => return None,
         };
         match polled {
-            Ok(batch) => {
+            Ok(EraAnswer { era, answer: batch }) => {
                 info!(
                     event = "store_polled",
                     prefix,
@@ -139,7 +140,7 @@
                     revision = batch.revision,
                     changes = batch.changes.len()
                 );
-                self.health.record_success();
+                self.health.record_success(era);
                 Some(batch)
             }
             Err(StoreError::Compacted { .. }) => {
@@ -171,8 +172,8 @@
         &self,
         request: StoreRequest,
     ) -> Result<(Vec<KeyEntry>, u64), StoreError> {
-        let reply = self.store.call(request).await?;
-        self.health.record_success();
+        let EraAnswer { era, answer: reply } = self.store.call(request).await?;
+        self.health.record_success(era);
         self.handle
             .with_core(|core, _| core.set_store_failing(false));
         match reply {
--- a/crates/sequoiagw-mesh/src/store_health.rs
+++ b/crates/sequoiagw-mesh/src/store_health.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use sequoiagw_node::NodeCounters;
+use sequoiagw_store::StoreEra;
 use sequoiagw_store::StoreError;
 use tokio::sync::watch;
 use tokio::sync::Notify;
@@ -24,6 +25,8 @@
 #[derive(Clone)]
 pub struct StoreHealth {
     failing_since: Rc<Cell<Option<Instant>>>,
+    /// Latest era of the store that an answer named, `None` before the first answer.
+    era: Rc<Cell<Option<StoreEra>>>,
     recoveries: Rc<watch::Sender<u64>>,
     failures: Rc<Notify>,
     counters: NodeCounters,
@@ -35,6 +38,7 @@
         let (recoveries, _) = watch::channel(0);
         Self {
             failing_since: Rc::default(),
+            era: Rc::default(),
             recoveries: Rc::new(recoveries),
             failures: Rc::default(),
             counters,
@@ -51,9 +55,10 @@
         }
     }
 
-    /// Records a successful call; the first one after a failure notifies the receivers from
-    /// [`Self::subscribe_recovery`].
-    pub fn record_success(&self) {
+    /// Records a successful call and the era of its answer; the first success after a failure
+    /// notifies the receivers from [`Self::subscribe_recovery`].
+    pub fn record_success(&self, era: StoreEra) {
+        self.record_era(era);
         let Some(since) = self.failing_since.take() else {
             return;
         };
@@ -62,6 +67,16 @@
         self.recoveries.send_modify(|count| *count += 1);
     }
 
+    fn record_era(&self, era: StoreEra) {
+        let Some(before) = self.era.replace(Some(era)) else {
+            return;
+        };
+        if era != before {
+            warn!(event = "store_restored", era = %era, before = %before);
+            self.counters.count("store.restored");
+        }
+    }
+
     /// Time since which calls have failed, `None` if the last call succeeded.
     pub fn failing_since(&self) -> Option<Instant> {
         self.failing_since.get()
--- /dev/null
+++ b/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
@@ -0,0 +1,307 @@
+//! A key-value store in memory that the nodes of a fleet share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use sequoiagw_store::CallFuture;
+use sequoiagw_store::ChangeBatch;
+use sequoiagw_store::EraAnswer;
+use sequoiagw_store::KeyChange;
+use sequoiagw_store::KeyEntry;
+use sequoiagw_store::LeaseId;
+use sequoiagw_store::PollFuture;
+use sequoiagw_store::PollRequest;
+use sequoiagw_store::PollingStore;
+use sequoiagw_store::PutEntry;
+use sequoiagw_store::StoreEra;
+use sequoiagw_store::StoreError;
+use sequoiagw_store::StoreReply;
+use sequoiagw_store::StoreRequest;
+use tokio::sync::watch;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio::time::Instant;
+
+use crate::number_format::CONFIG_KEY;
+
+/// Time that a call to the store takes.
+pub const CALL_TIME: Duration = Duration::from_millis(20);
+/// Time after which a call to a store that doesn't answer fails.
+pub const CALL_TIMEOUT: Duration = Duration::from_millis(1500);
+/// Interval between two checks for expired leases.
+const LEASE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
+
+/// What the store holds at one revision.
+#[derive(Clone, Debug, Default)]
+pub struct StoreContent {
+    revision: u64,
+    entries: BTreeMap<String, KeyEntry>,
+    /// Lease of each key that has one.
+    attached_leases: BTreeMap<String, LeaseId>,
+    changes: Vec<(u64, KeyChange)>,
+    /// Time left and time to live of each lease.
+    leases: BTreeMap<LeaseId, (Duration, Duration)>,
+    last_lease: u64,
+}
+
+impl StoreContent {
+    fn put(&mut self, key: &str, value: String, lease: Option<LeaseId>) {
+        self.revision += 1;
+        let entry = KeyEntry {
+            key: key.to_owned(),
+            value,
+            create_revision: self.revision,
+            mod_revision: self.revision,
+        };
+        self.attached_leases.remove(key);
+        if let Some(lease) = lease {
+            self.attached_leases.insert(key.to_owned(), lease);
+        }
+        self.entries.insert(key.to_owned(), entry.clone());
+        let change = KeyChange::Written(entry);
+        self.changes.push((self.revision, change));
+    }
+
+    fn end_lease(&mut self, lease: LeaseId) {
+        self.leases.remove(&lease);
+        let attached = self.attached_leases.iter();
+        let keys: Vec<String> = attached
+            .filter(|(_, attached)| **attached == lease)
+            .map(|(key, _)| key.clone())
+            .collect();
+        for key in keys {
+            self.revision += 1;
+            let revision = self.revision;
+            self.entries.remove(&key);
+            self.attached_leases.remove(&key);
+            self.changes
+                .push((revision, KeyChange::Deleted { key, revision }));
+        }
+    }
+
+    fn commit(&mut self, puts: Vec<PutEntry>) -> Result<StoreReply, StoreError> {
+        for put in puts {
+            if let Some(lease) = put.lease.filter(|lease| !self.leases.contains_key(lease)) {
+                return Err(StoreError::LeaseLapsed { lease: lease.0 });
+            }
+            self.put(&put.key, put.value, put.lease);
+        }
+        Ok(StoreReply::Committed {
+            applied: true,
+            revision: self.revision,
+        })
+    }
+
+    fn execute(&mut self, request: StoreRequest) -> Result<StoreReply, StoreError> {
+        let revision = self.revision;
+        Ok(match request {
+            StoreRequest::Read { key } => StoreReply::Entries {
+                entries: self.entries.get(&key).cloned().into_iter().collect(),
+                revision,
+            },
+            StoreRequest::ReadPrefix { prefix } => {
+                let entries = self.entries.values();
+                let matching = entries.filter(|entry| entry.key.starts_with(&prefix));
+                StoreReply::Entries {
+                    entries: matching.cloned().collect(),
+                    revision,
+                }
+            }
+            StoreRequest::Commit { puts, .. } => self.commit(puts)?,
+            StoreRequest::Grant { ttl_s } => {
+                self.last_lease += 1;
+                let lease = LeaseId(self.last_lease);
+                let ttl = Duration::from_secs(ttl_s);
+                self.leases.insert(lease, (ttl, ttl));
+                StoreReply::Leased { lease, ttl_s }
+            }
+            StoreRequest::KeepAlive { lease } => {
+                let kept = self.leases.get_mut(&lease);
+                let (left, ttl) = kept.ok_or(StoreError::LeaseLapsed { lease: lease.0 })?;
+                *left = *ttl;
+                StoreReply::Leased {
+                    lease,
+                    ttl_s: ttl.as_secs(),
+                }
+            }
+            StoreRequest::Revoke { lease } => {
+                self.end_lease(lease);
+                StoreReply::Revoked
+            }
+            StoreRequest::CreateEach { .. } => StoreReply::Created {
+                existing_entries: Vec::new(),
+            },
+        })
+    }
+
+    /// Changes after a revision to the keys with a prefix; `None` if the store doesn't have that
+    /// revision.
+    fn changes_after(&self, prefix: &str, after: u64) -> Option<Vec<KeyChange>> {
+        let key = |change: &KeyChange| match change {
+            KeyChange::Written(entry) => entry.key.clone(),
+            KeyChange::Deleted { key, .. } => key.clone(),
+        };
+        let later = self
+            .changes
+            .iter()
+            .filter(|(revision, _)| *revision > after);
+        let matching = later.filter(|(_, change)| key(change).starts_with(prefix));
+        (after <= self.revision).then(|| matching.map(|(_, change)| change.clone()).collect())
+    }
+}
+
+/// The store of a fleet. Clones share their content.
+#[derive(Clone)]
+pub struct FleetStore {
+    content: Rc<RefCell<StoreContent>>,
+    /// Changes with each change of the content.
+    changed: Rc<watch::Sender<()>>,
+}
+
+impl FleetStore {
+    /// Starts a store with a configuration.
+    pub fn start(version: u64) -> Self {
+        let store = Self {
+            content: Rc::default(),
+            changed: Rc::new(watch::channel(()).0),
+        };
+        store.write_config(version);
+        tokio::task::spawn_local(store.clone().expire_leases());
+        store
+    }
+
+    /// Writes a configuration, as the operators do.
+    pub fn write_config(&self, version: u64) {
+        self.put(CONFIG_KEY, version.to_string());
+    }
+
+    /// Writes a key without a lease.
+    pub fn put(&self, key: &str, value: String) {
+        self.content.borrow_mut().put(key, value, None);
+        self.changed.send_replace(());
+    }
+
+    async fn expire_leases(self) {
+        loop {
+            sleep(LEASE_CHECK_INTERVAL).await;
+            let expired: Vec<LeaseId> = {
+                let leases = &mut self.content.borrow_mut().leases;
+                for (left, _) in leases.values_mut() {
+                    *left = left.saturating_sub(LEASE_CHECK_INTERVAL);
+                }
+                let expired = leases.iter().filter(|(_, (left, _))| left.is_zero());
+                expired.map(|(lease, _)| *lease).collect()
+            };
+            for lease in expired {
+                self.content.borrow_mut().end_lease(lease);
+                self.changed.send_replace(());
+            }
+        }
+    }
+
+    fn answer<Answer>(answer: Answer) -> EraAnswer<Answer> {
+        EraAnswer {
+            era: StoreEra::default(),
+            answer,
+        }
+    }
+
+    async fn poll_changes(
+        &self,
+        request: &PollRequest,
+    ) -> Result<EraAnswer<ChangeBatch>, StoreError> {
+        let mut changed = self.changed.subscribe();
+        let deadline = Instant::now() + request.wait;
+        loop {
+            let batch = {
+                let content = self.content.borrow();
+                let found = content.changes_after(&request.prefix, request.after);
+                ChangeBatch {
+                    changes: found.ok_or(StoreError::Compacted { oldest: 0 })?,
+                    revision: content.revision,
+                }
+            };
+            if !batch.changes.is_empty() || Instant::now() >= deadline {
+                return Ok(Self::answer(batch));
+            }
+            let time_left = deadline.saturating_duration_since(Instant::now());
+            // Without a change the time is over, and the next round answers.
+            let _ = timeout(time_left, changed.changed()).await;
+        }
+    }
+}
+
+/// One node's access to the store.
+#[derive(Clone)]
+pub struct NodeStore {
+    store: FleetStore,
+    /// Whether the store answers nothing that this node sends.
+    cut: Rc<Cell<bool>>,
+}
+
+impl NodeStore {
+    /// Access of one node.
+    pub fn new(store: &FleetStore) -> Self {
+        Self {
+            store: store.clone(),
+            cut: Rc::default(),
+        }
+    }
+
+    /// Cuts the node off from the store, or ends that.
+    pub fn set_cut(&self, cut: bool) {
+        self.cut.set(cut);
+    }
+
+    async fn wait_if_cut(&self) -> Result<(), StoreError> {
+        if self.cut.get() {
+            sleep(CALL_TIMEOUT).await;
+            return Err(no_answer());
+        }
+        Ok(())
+    }
+}
+
+impl PollingStore for NodeStore {
+    fn call(&self, request: StoreRequest) -> CallFuture {
+        let access = self.clone();
+        Box::pin(async move {
+            access.wait_if_cut().await?;
+            sleep(CALL_TIME / 2).await;
+            let changes_content = matches!(
+                request,
+                StoreRequest::Commit { .. } | StoreRequest::Revoke { .. }
+            );
+            let reply = access.store.content.borrow_mut().execute(request)?;
+            let answered = FleetStore::answer(reply);
+            if changes_content {
+                access.store.changed.send_replace(());
+            }
+            sleep(CALL_TIME / 2).await;
+            Ok(answered)
+        })
+    }
+
+    fn poll(&self, request: PollRequest) -> PollFuture {
+        let access = self.clone();
+        Box::pin(async move {
+            access.wait_if_cut().await?;
+            let answered = access.store.poll_changes(&request).await;
+            if access.cut.get() {
+                // A poll that waits while the node is cut off is never answered.
+                sleep(request.wait).await;
+                return Err(no_answer());
+            }
+            answered
+        })
+    }
+}
+
+fn no_answer() -> StoreError {
+    StoreError::Unavailable {
+        detail: "no answer".to_owned(),
+    }
+}
--- a/crates/sequoiagw-mesh/tests/store_follower.rs
+++ b/crates/sequoiagw-mesh/tests/store_follower.rs
@@ -28,13 +28,15 @@
 use sequoiagw_protocol::PeerFrame;
 use sequoiagw_protocol::TableDigest;
 use sequoiagw_protocol::TableHash;
+use sequoiagw_store::CallFuture;
 use sequoiagw_store::ChangeBatch;
+use sequoiagw_store::EraAnswer;
 use sequoiagw_store::KeyEntry;
 use sequoiagw_store::PollFuture;
 use sequoiagw_store::PollRequest;
 use sequoiagw_store::PollingStore;
+use sequoiagw_store::StoreEra;
 use sequoiagw_store::StoreError;
-use sequoiagw_store::StoreFuture;
 use sequoiagw_store::StoreReply;
 use sequoiagw_store::StoreRequest;
 use support::registration;
@@ -89,7 +91,7 @@
 }
 
 impl PollingStore for CountingStore {
-    fn call(&self, request: StoreRequest) -> StoreFuture {
+    fn call(&self, request: StoreRequest) -> CallFuture {
         self.count("read");
         let store = self.clone();
         Box::pin(async move {
@@ -108,9 +110,13 @@
                     })
                     .collect(),
             };
-            Ok(StoreReply::Entries {
+            let answer = StoreReply::Entries {
                 entries,
                 revision: 5,
+            };
+            Ok(EraAnswer {
+                era: StoreEra::default(),
+                answer,
             })
         })
     }
@@ -121,9 +127,13 @@
         Box::pin(async move {
             store.check_available()?;
             sleep(request.wait).await;
-            Ok(ChangeBatch {
+            let answer = ChangeBatch {
                 changes: Vec::new(),
                 revision: request.after,
+            };
+            Ok(EraAnswer {
+                era: StoreEra::default(),
+                answer,
             })
         })
     }
--- a/crates/sequoiagw-mesh/tests/store_health.rs
+++ b/crates/sequoiagw-mesh/tests/store_health.rs
@@ -4,6 +4,7 @@
 
 use sequoiagw_mesh::StoreHealth;
 use sequoiagw_node::NodeCounters;
+use sequoiagw_store::StoreEra;
 use sequoiagw_store::StoreError;
 use tokio::time::advance;
 
@@ -21,7 +22,7 @@
     advance(Duration::from_secs(3)).await;
     health.record_failure(&connection_lost());
     assert!(health.retry_delay() >= Duration::from_secs(1));
-    health.record_success();
+    health.record_success(StoreEra(1));
     health.record_failure(&connection_lost());
     assert!(
         health.retry_delay() <= Duration::from_millis(500),
@@ -33,12 +34,12 @@
 async fn notifies_recovery_once_after_failure() {
     let health = StoreHealth::new(NodeCounters::default());
     let mut recovery = health.subscribe_recovery();
-    health.record_success();
+    health.record_success(StoreEra(1));
     assert!(!recovery.has_changed().expect("sender is alive"));
     health.record_failure(&connection_lost());
-    health.record_success();
+    health.record_success(StoreEra(1));
     assert!(recovery.has_changed().expect("sender is alive"));
     recovery.mark_unchanged();
-    health.record_success();
+    health.record_success(StoreEra(1));
     assert!(!recovery.has_changed().expect("sender is alive"));
 }
--- a/crates/sequoiagw-store/src/polling_store.rs
+++ b/crates/sequoiagw-store/src/polling_store.rs
@@ -4,9 +4,10 @@
 use std::pin::Pin;
 use std::time::Duration;
 
+use crate::EraAnswer;
 use crate::KeyEntry;
 use crate::StoreError;
-use crate::StoreFuture;
+use crate::StoreReply;
 use crate::StoreRequest;
 
 /// Request for the changes to all keys with a prefix.
@@ -43,13 +44,15 @@
     pub revision: u64,
 }
 
-/// Future result of a poll.
-pub type PollFuture = Pin<Box<dyn Future<Output = Result<ChangeBatch, StoreError>>>>;
+/// Future answer to a call.
+pub type CallFuture = Pin<Box<dyn Future<Output = Result<EraAnswer<StoreReply>, StoreError>>>>;
+/// Future answer to a poll.
+pub type PollFuture = Pin<Box<dyn Future<Output = Result<EraAnswer<ChangeBatch>, StoreError>>>>;
 
 /// A key-value store that is polled for changes instead of streaming them.
 pub trait PollingStore {
     /// Makes one call. If the future is dropped, the call may still take effect.
-    fn call(&self, request: StoreRequest) -> StoreFuture;
+    fn call(&self, request: StoreRequest) -> CallFuture;
 
     /// Requests changes.
     ///
