Show what a node misses when the store comes back from a copy

Eleven tests on a fleet with a store in memory whose revisions and leases go back and are given out again.

Three hold already: polls that are cut, a version in force doesn't go back, the boot of an earlier process doesn't come back. The last holds only because lower revisions are ignored, which the fix must change.

--- a/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
@@ -1,4 +1,4 @@
-//! A key-value store in memory that the nodes of a fleet share.
+//! A key-value store in memory that the nodes of a fleet share, and that may be restored from a copy.
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -153,10 +153,23 @@
     }
 }
 
+/// What becomes of the polls that wait at the store when it is restored.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum WaitingPolls {
+    /// They fail.
+    Cut,
+    /// They are never answered.
+    Lost,
+    /// They go on waiting for changes after their revision.
+    Kept,
+}
+
 /// The store of a fleet. Clones share their content.
 #[derive(Clone)]
 pub struct FleetStore {
     content: Rc<RefCell<StoreContent>>,
+    era: Rc<Cell<u64>>,
+    waiting_polls: Rc<Cell<WaitingPolls>>,
     /// Changes with each change of the content.
     changed: Rc<watch::Sender<()>>,
 }
@@ -166,6 +179,8 @@
     pub fn start(version: u64) -> Self {
         let store = Self {
             content: Rc::default(),
+            era: Rc::default(),
+            waiting_polls: Rc::new(Cell::new(WaitingPolls::Cut)),
             changed: Rc::new(watch::channel(()).0),
         };
         store.write_config(version);
@@ -184,6 +199,30 @@
         self.changed.send_replace(());
     }
 
+    /// Value of a key, `None` if it doesn't exist.
+    pub fn value(&self, key: &str) -> Option<String> {
+        let content = self.content.borrow();
+        content.entries.get(key).map(|entry| entry.value.clone())
+    }
+
+    /// Revision of the last change.
+    pub fn revision(&self) -> u64 {
+        self.content.borrow().revision
+    }
+
+    /// Copy of the content.
+    pub fn copy(&self) -> StoreContent {
+        self.content.borrow().clone()
+    }
+
+    /// Replaces the content by an older copy, which begins a new era.
+    pub fn restore(&self, copy: StoreContent, waiting_polls: WaitingPolls) {
+        *self.content.borrow_mut() = copy;
+        self.era.set(self.era.get() + 1);
+        self.waiting_polls.set(waiting_polls);
+        self.changed.send_replace(());
+    }
+
     async fn expire_leases(self) {
         loop {
             sleep(LEASE_CHECK_INTERVAL).await;
@@ -202,9 +241,9 @@
         }
     }
 
-    fn answer<Answer>(answer: Answer) -> EraAnswer<Answer> {
+    fn answer<Answer>(&self, answer: Answer) -> EraAnswer<Answer> {
         EraAnswer {
-            era: StoreEra::default(),
+            era: StoreEra(self.era.get()),
             answer,
         }
     }
@@ -214,8 +253,16 @@
         request: &PollRequest,
     ) -> Result<EraAnswer<ChangeBatch>, StoreError> {
         let mut changed = self.changed.subscribe();
+        let era = self.era.get();
         let deadline = Instant::now() + request.wait;
         loop {
+            if self.era.get() != era {
+                match self.waiting_polls.get() {
+                    WaitingPolls::Cut => return Err(no_answer()),
+                    WaitingPolls::Lost => std::future::pending().await,
+                    WaitingPolls::Kept => {}
+                }
+            }
             let batch = {
                 let content = self.content.borrow();
                 let found = content.changes_after(&request.prefix, request.after);
@@ -225,7 +272,7 @@
                 }
             };
             if !batch.changes.is_empty() || Instant::now() >= deadline {
-                return Ok(Self::answer(batch));
+                return Ok(self.answer(batch));
             }
             let time_left = deadline.saturating_duration_since(Instant::now());
             // Without a change the time is over, and the next round answers.
@@ -276,7 +323,7 @@
                 StoreRequest::Commit { .. } | StoreRequest::Revoke { .. }
             );
             let reply = access.store.content.borrow_mut().execute(request)?;
-            let answered = FleetStore::answer(reply);
+            let answered = access.store.answer(reply);
             if changes_content {
                 access.store.changed.send_replace(());
             }
--- a/crates/sequoiagw-mesh/tests/fleet/main.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/main.rs
@@ -1,4 +1,5 @@
-//! Fleets of nodes in one process, with a store that may be cut off from some of them.
+//! Fleets of nodes in one process, with a store that may be cut off from some of them or restored from
+//! a copy.
 
 mod direct_links;
 mod fleet_node;
@@ -6,5 +7,6 @@
 mod lost_watchers;
 #[path = "../number_format/mod.rs"]
 mod number_format;
+mod restored_store;
 #[path = "../support/mod.rs"]
 mod support;
