Read everything again when the store has come back from a copy, whatever becomes of the polls

What callers would see: a confirmed version isn't in force for up to 20 s. The cause: a poll asks for the changes after a revision, and a store that has gone back and reached that revision again answers it as if nothing had happened; what lies between was never read. A poll that was lost in between waits 20 s. Only polls that fail lead to a read. Class: a position in a history used without the history it belongs to.

A revision now carries the era in which it was read. Polls go on only within their era; the first answer of a later era, also to a renewal, ends the polls that wait and has everything read again, as the end of an outage does. An answer of an earlier era than the latest one, which was under way meanwhile, is refused and counted (store.superseded).

--- a/crates/sequoiagw-mesh/src/follower_config.rs
+++ b/crates/sequoiagw-mesh/src/follower_config.rs
@@ -6,6 +6,7 @@
 use sequoiagw_store::KeyChange;
 use sequoiagw_store::KeyEntry;
 use sequoiagw_store::StoreRequest;
+use sequoiagw_store::StoreRevision;
 use tokio::time::sleep;
 
 use crate::MeshCore;
@@ -55,7 +56,7 @@
                 let Some(batch) = self.poll_changes(&key, after).await else {
                     break;
                 };
-                after = batch.revision;
+                after.number = batch.revision;
                 if !batch.changes.is_empty() {
                     self.activate_newest(batch.changes);
                     sleep(CONFIG_READ_INTERVAL).await;
@@ -97,7 +98,7 @@
 
     /// Reads the configuration until it stays the same between two reads; returns the store's
     /// revision, or `None` after a failure.
-    async fn read_config(&self) -> Option<u64> {
+    async fn read_config(&self) -> Option<StoreRevision> {
         loop {
             let before = self.version_number();
             let key = self.handle.platform_format().config_key().to_owned();
--- a/crates/sequoiagw-mesh/src/follower_registrations.rs
+++ b/crates/sequoiagw-mesh/src/follower_registrations.rs
@@ -4,6 +4,7 @@
 
 use sequoiagw_store::KeyChange;
 use sequoiagw_store::StoreRequest;
+use sequoiagw_store::StoreRevision;
 use tokio::time::sleep;
 use tracing::info;
 
@@ -34,7 +35,7 @@
                 let Some(batch) = self.poll_changes(NODES_PREFIX, after).await else {
                     break;
                 };
-                after = batch.revision;
+                after.number = batch.revision;
                 self.apply_registration_changes(&batch.changes).await;
             }
             self.wait_while_watchers_report(MeshCore::take_pending_registration_read)
@@ -74,7 +75,7 @@
     }
 
     /// Reads all registrations; returns the store's revision, or `None` after a failure.
-    async fn read_registrations(&self) -> Option<u64> {
+    async fn read_registrations(&self) -> Option<StoreRevision> {
         let prefix = NODES_PREFIX.to_owned();
         match self.read(StoreRequest::ReadPrefix { prefix }).await {
             Ok((nodes, revision)) => {
@@ -88,7 +89,7 @@
                     core.broadcast_digest(true, now);
                 });
                 self.registrations_read.set(true);
-                info!(event = "store_read", revision, nodes = nodes.len());
+                info!(event = "store_read", revision = %revision, nodes = nodes.len());
                 Some(revision)
             }
             Err(error) => {
--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -132,7 +132,7 @@
         let StoreReply::Leased { lease, .. } = granted.answer else {
             return Err(malformed("reply to a lease grant carries no lease"));
         };
-        self.health.record_success(granted.era);
+        self.health.record_success(granted.era)?;
         self.lease = Some(lease);
         self.next_renewal = Instant::now() + self.renew_interval();
         Ok(lease)
@@ -144,7 +144,7 @@
         };
         match self.keep_alive(lease).await {
             Ok(renewed) => {
-                self.health.record_success(renewed.era);
+                self.health.record_success(renewed.era)?;
                 self.next_renewal = Instant::now() + self.renew_interval();
                 Ok(())
             }
@@ -198,7 +198,7 @@
         };
         match self.store.call(request).await {
             Ok(written) => {
-                self.health.record_success(written.era);
+                self.health.record_success(written.era)?;
                 let revision = match written.answer {
                     StoreReply::Committed { revision, .. } => revision,
                     _ => 0,
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -12,6 +12,7 @@
 use sequoiagw_store::StoreError;
 use sequoiagw_store::StoreReply;
 use sequoiagw_store::StoreRequest;
+use sequoiagw_store::StoreRevision;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 use tokio::time::Instant;
@@ -120,28 +121,35 @@
 
     /// Polls the store for changes after a revision; returns `None` when some of them may have
     /// been missed, so that everything must be read again.
-    pub(crate) async fn poll_changes(&self, prefix: &str, after: u64) -> Option<ChangeBatch> {
+    pub(crate) async fn poll_changes(
+        &self,
+        prefix: &str,
+        after: StoreRevision,
+    ) -> Option<ChangeBatch> {
         let mut recovery = self.health.subscribe_recovery();
+        if self.health.era() != after.era {
+            return None;
+        }
         let request = PollRequest {
             prefix: prefix.to_owned(),
-            after,
+            after: after.number,
             wait: POLL_WAIT,
         };
         let polled = tokio::select! {
             polled = self.store.poll(request) => polled,
             _ = recovery.changed() => return None,
         };
-        match polled {
+        match polled.and_then(|polled| self.accept(polled)) {
             Ok(EraAnswer { era, answer: batch }) => {
                 info!(
                     event = "store_polled",
                     prefix,
-                    after,
+                    after = %after,
+                    era = %era,
                     revision = batch.revision,
                     changes = batch.changes.len()
                 );
-                self.health.record_success(era);
-                Some(batch)
+                (era == after.era).then_some(batch)
             }
             Err(StoreError::Compacted { .. }) => {
                 info!(event = "store_history_lost", prefix);
@@ -167,17 +175,27 @@
         }
     }
 
+    /// Records a successful call.
+    ///
+    /// Errors: the answer is of an earlier era than the latest one.
+    fn accept<Answer>(&self, answered: EraAnswer<Answer>) -> Result<EraAnswer<Answer>, StoreError> {
+        self.health.record_success(answered.era)?;
+        Ok(answered)
+    }
+
     /// Makes one read call; returns the entries and the store's revision.
     pub(crate) async fn read(
         &self,
         request: StoreRequest,
-    ) -> Result<(Vec<KeyEntry>, u64), StoreError> {
-        let EraAnswer { era, answer: reply } = self.store.call(request).await?;
-        self.health.record_success(era);
+    ) -> Result<(Vec<KeyEntry>, StoreRevision), StoreError> {
+        let EraAnswer { era, answer: reply } = self.accept(self.store.call(request).await?)?;
         self.handle
             .with_core(|core, _| core.set_store_failing(false));
         match reply {
-            StoreReply::Entries { entries, revision } => Ok((entries, revision)),
+            StoreReply::Entries { entries, revision } => {
+                let number = revision;
+                Ok((entries, StoreRevision { era, number }))
+            }
             _ => Err(StoreError::Malformed {
                 detail: "reply to a read carries no entries".to_owned(),
             }),
--- a/crates/sequoiagw-mesh/src/store_health.rs
+++ b/crates/sequoiagw-mesh/src/store_health.rs
@@ -55,26 +55,41 @@
         }
     }
 
-    /// Records a successful call and the era of its answer; the first success after a failure
-    /// notifies the receivers from [`Self::subscribe_recovery`].
-    pub fn record_success(&self, era: StoreEra) {
-        self.record_era(era);
-        let Some(since) = self.failing_since.take() else {
-            return;
-        };
-        let silent_ms = since.elapsed().as_millis() as u64;
-        info!(event = "store_regained", silent_ms);
-        self.recoveries.send_modify(|count| *count += 1);
+    /// Records a successful call and the era of its answer. The first success after a failure, and
+    /// the first one of a later era, notify the receivers from [`Self::subscribe_recovery`].
+    ///
+    /// Errors: the answer is of an earlier era than the latest one.
+    pub fn record_success(&self, era: StoreEra) -> Result<(), StoreError> {
+        let is_restored = self.record_era(era)?;
+        let failing_since = self.failing_since.take();
+        if let Some(since) = failing_since {
+            let silent_ms = since.elapsed().as_millis() as u64;
+            info!(event = "store_regained", silent_ms);
+        }
+        if is_restored || failing_since.is_some() {
+            self.recoveries.send_modify(|count| *count += 1);
+        }
+        Ok(())
     }
 
-    fn record_era(&self, era: StoreEra) {
-        let Some(before) = self.era.replace(Some(era)) else {
-            return;
-        };
-        if era != before {
-            warn!(event = "store_restored", era = %era, before = %before);
+    /// Records the era of an answer; returns whether it is later than that of all answers before.
+    fn record_era(&self, era: StoreEra) -> Result<bool, StoreError> {
+        let latest = self.era.get().unwrap_or(era);
+        if era < latest {
+            self.counters.count("store.superseded");
+            return Err(StoreError::Superseded { era, latest });
+        }
+        self.era.set(Some(era));
+        if era > latest {
+            warn!(event = "store_restored", era = %era, before = %latest);
             self.counters.count("store.restored");
         }
+        Ok(era > latest)
+    }
+
+    /// Latest era of the store that an answer named; the first one before any answer.
+    pub fn era(&self) -> StoreEra {
+        self.era.get().unwrap_or_default()
     }
 
     /// Time since which calls have failed, `None` if the last call succeeded.
@@ -98,8 +113,8 @@
         self.failures.notified().await;
     }
 
-    /// Receiver whose value changes each time the store recovers. A poll that was waiting at the
-    /// store during an outage may never be answered and must be repeated.
+    /// Receiver whose value changes each time the store recovers or comes back from an older copy. A
+    /// poll that was waiting at the store meanwhile may never be answered, or miss changes.
     pub fn subscribe_recovery(&self) -> watch::Receiver<u64> {
         self.recoveries.subscribe()
     }
--- a/crates/sequoiagw-standin/src/store_server.rs
+++ b/crates/sequoiagw-standin/src/store_server.rs
@@ -97,7 +97,7 @@
 
 fn error_reply(error: &StoreError) -> (u16, Value) {
     let (status, code) = match error {
-        StoreError::Unavailable { .. } => (503, 14),
+        StoreError::Unavailable { .. } | StoreError::Superseded { .. } => (503, 14),
         StoreError::LeaseLapsed { .. } => (404, 5),
         StoreError::Compacted { .. } => (400, 11),
         StoreError::Refused { .. } | StoreError::Malformed { .. } => (400, 3),
--- a/crates/sequoiagw-store/src/lib.rs
+++ b/crates/sequoiagw-store/src/lib.rs
@@ -40,6 +40,7 @@
 pub use polling_store::PollingStore;
 pub use store_era::EraAnswer;
 pub use store_era::StoreEra;
+pub use store_era::StoreRevision;
 pub use store_error::StoreError;
 pub use store_request::KeyCondition;
 pub use store_request::KeyEntry;
--- a/crates/sequoiagw-store/src/store_era.rs
+++ b/crates/sequoiagw-store/src/store_era.rs
@@ -33,3 +33,14 @@
     /// What the store answered.
     pub answer: Answer,
 }
+
+/// Revision of the store with the era to which it belongs. All revisions of an era are later than
+/// those of the eras before.
+#[derive(Clone, Copy, Debug, Default, Display, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[display("{era}/{number}")]
+pub struct StoreRevision {
+    /// Era of the store.
+    pub era: StoreEra,
+    /// Number within the era.
+    pub number: u64,
+}
--- a/crates/sequoiagw-store/src/store_error.rs
+++ b/crates/sequoiagw-store/src/store_error.rs
@@ -2,6 +2,8 @@
 
 use thiserror::Error;
 
+use crate::StoreEra;
+
 /// Error of a call to the store.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum StoreError {
@@ -31,6 +33,15 @@
         /// Oldest revision that the store still has; 0 if the store doesn't report it.
         oldest: u64,
     },
+    /// The answer was given before the store came back from an older copy, of which a later answer
+    /// has told.
+    #[error("the answer is of era {era} of the store, which is in era {latest}")]
+    Superseded {
+        /// Era of the answer.
+        era: StoreEra,
+        /// Latest known era.
+        latest: StoreEra,
+    },
     /// The store has no such lease, because it lapsed or was revoked.
     #[error("lease {lease} has lapsed")]
     LeaseLapsed {
