Register a node again when the store has come back from a copy

What callers would see: requests sent to an earlier process, to slots that a backend server no longer has, or not at all to a node that runs, since processes that start later read a registration that is old or missing. The cause: a node writes its registration again only when its lease is gone. A lease from before the copy outlives a registration from after it. A lease from after the copy is gone, but its identifier may have been given to another node, whose lease this node then renews as its own.

A lease now carries the era in which it was granted. As soon as an answer is of another one, also that to the write itself, the node gives the lease up, takes a new one and writes its registration. A write that finds no lease is repeated after 0.5 s and no longer waits for the next renewal.

--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -7,6 +7,7 @@
 use sequoiagw_store::LeaseId;
 use sequoiagw_store::PollingStore;
 use sequoiagw_store::PutEntry;
+use sequoiagw_store::StoreEra;
 use sequoiagw_store::StoreError;
 use sequoiagw_store::StoreReply;
 use sequoiagw_store::StoreRequest;
@@ -40,12 +41,21 @@
 /// Pause after a failed call to the store.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
 
+/// A lease, which belongs to the era in which the store granted it. In later eras the store may give
+/// the same identifier to another node.
+#[derive(Clone, Copy, Debug)]
+struct GrantedLease {
+    id: LeaseId,
+    era: StoreEra,
+}
+
 /// Writes one node's registration to the store and renews its lease.
 pub struct NodeRegistrar {
     handle: MeshHandle,
     store: Rc<dyn PollingStore>,
     health: StoreHealth,
-    lease: Option<LeaseId>,
+    lease: Option<GrantedLease>,
+    /// Registration written under the lease.
     written: Option<NodeRegistration>,
     next_renewal: Instant,
 }
@@ -80,11 +90,14 @@
         };
         // The registration is written now, with or without a heartbeat.
         let _ = timeout(max_wait, slots_offered).await;
+        let mut recovery = self.health.subscribe_recovery();
         loop {
             match self.update_store().await {
                 Ok(()) => {
                     tokio::select! {
                         () = changed.notified() => self.check_directory(),
+                        // The store may have come back from an older copy.
+                        _ = recovery.changed() => {}
                         () = sleep_until(self.next_renewal) => {}
                     }
                 }
@@ -110,29 +123,52 @@
         }
     }
 
-    /// Renews the lease if that is due, and writes the registration if it has changed.
+    /// Renews the lease if that is due, and writes the registration if it has changed or the store
+    /// has come back from an older copy.
     async fn update_store(&mut self) -> Result<(), StoreError> {
         if self.lease.is_some() && Instant::now() >= self.next_renewal {
             self.renew().await?;
         }
-        let current = self.handle.read(MeshCore::own_registration);
-        if self.written.as_ref() == Some(&current) {
-            return Ok(());
+        loop {
+            self.drop_superseded_lease();
+            let current = self.handle.read(MeshCore::own_registration);
+            if self.written.as_ref() == Some(&current) {
+                return Ok(());
+            }
+            let lease = match self.lease {
+                Some(lease) => lease,
+                None => self.grant().await?,
+            };
+            self.write(current, lease.id).await?;
+            if self.lease.is_none() {
+                return Ok(());
+            }
         }
-        let lease = match self.lease {
-            Some(lease) => lease,
-            None => self.grant().await?,
-        };
-        self.write(current, lease).await
     }
 
-    async fn grant(&mut self) -> Result<LeaseId, StoreError> {
+    /// Gives up the lease, and with it the registration, if it is of an earlier era of the store.
+    fn drop_superseded_lease(&mut self) {
+        let era = self.health.era();
+        if let Some(lease) = self.lease.filter(|lease| lease.era != era) {
+            info!(event = "lease_superseded", lease = %lease.id, granted_era = %lease.era, era = %era);
+            self.drop_lease();
+        }
+    }
+
+    fn drop_lease(&mut self) {
+        self.lease = None;
+        self.written = None;
+    }
+
+    async fn grant(&mut self) -> Result<GrantedLease, StoreError> {
         let request = StoreRequest::Grant { ttl_s: LEASE_TTL_S };
         let granted = self.store.call(request).await?;
         let StoreReply::Leased { lease, .. } = granted.answer else {
             return Err(malformed("reply to a lease grant carries no lease"));
         };
         self.health.record_success(granted.era)?;
+        let era = granted.era;
+        let lease = GrantedLease { id: lease, era };
         self.lease = Some(lease);
         self.next_renewal = Instant::now() + self.renew_interval();
         Ok(lease)
@@ -142,16 +178,15 @@
         let Some(lease) = self.lease else {
             return Ok(());
         };
-        match self.keep_alive(lease).await {
+        match self.keep_alive(lease.id).await {
             Ok(renewed) => {
                 self.health.record_success(renewed.era)?;
                 self.next_renewal = Instant::now() + self.renew_interval();
                 Ok(())
             }
             Err(StoreError::LeaseLapsed { .. }) => {
-                info!(event = "lease_lapsed", lease = %lease);
-                self.lease = None;
-                self.written = None;
+                info!(event = "lease_lapsed", lease = %lease.id);
+                self.drop_lease();
                 Ok(())
             }
             Err(error) => Err(error),
@@ -210,7 +245,9 @@
                 Ok(())
             }
             Err(StoreError::LeaseLapsed { .. }) => {
-                self.lease = None;
+                info!(event = "lease_lapsed", lease = %lease);
+                self.drop_lease();
+                self.next_renewal = Instant::now() + RETRY_DELAY;
                 Ok(())
             }
             Err(error) => Err(error),
