--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -27,6 +27,7 @@
 mod platform_format;
 mod registration_change;
 mod retry_after;
+mod store_client;
 mod store_follower;
 mod store_health;
 mod target_monitor;
--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -1,5 +1,6 @@
 //! Keeps the node's own registration in the platform's store, under a lease.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,6 +18,7 @@
 use tokio::time::Instant;
 use tracing::info;
 
+use crate::store_client::StoreClient;
 use crate::store_follower::NODES_PREFIX;
 use crate::MeshCore;
 use crate::MeshHandle;
@@ -52,7 +54,7 @@
 /// Writes one node's registration to the store and renews its lease.
 pub struct NodeRegistrar {
     handle: MeshHandle,
-    store: Rc<dyn PollingStore>,
+    client: StoreClient,
     health: StoreHealth,
     lease: Option<GrantedLease>,
     /// Registration written under the lease.
@@ -65,7 +67,7 @@
     pub fn new(handle: MeshHandle, store: Rc<dyn PollingStore>, health: StoreHealth) -> Self {
         Self {
             handle,
-            store,
+            client: StoreClient::new(store, health.clone()),
             health,
             lease: None,
             written: None,
@@ -162,11 +164,10 @@
 
     async fn grant(&mut self) -> Result<GrantedLease, StoreError> {
         let request = StoreRequest::Grant { ttl_s: LEASE_TTL_S };
-        let granted = self.store.call(request).await?;
+        let granted = self.client.call(request).await?;
         let StoreReply::Leased { lease, .. } = granted.answer else {
             return Err(malformed("reply to a lease grant carries no lease"));
         };
-        self.health.record_success(granted.era)?;
         let era = granted.era;
         let lease = GrantedLease { id: lease, era };
         self.lease = Some(lease);
@@ -179,8 +180,7 @@
             return Ok(());
         };
         match self.keep_alive(lease.id).await {
-            Ok(renewed) => {
-                self.health.record_success(renewed.era)?;
+            Ok(_) => {
                 self.next_renewal = Instant::now() + self.renew_interval();
                 Ok(())
             }
@@ -195,7 +195,7 @@
 
     /// Renews a lease. An answer that is late counts as a failure of the store until it arrives.
     async fn keep_alive(&self, lease: LeaseId) -> Result<EraAnswer<StoreReply>, StoreError> {
-        let mut renewal = self.store.call(StoreRequest::KeepAlive { lease });
+        let mut renewal = pin!(self.client.call(StoreRequest::KeepAlive { lease }));
         if let Ok(reply) = timeout(ANSWER_DELAY_LIMIT, &mut renewal).await {
             return reply;
         }
@@ -231,9 +231,8 @@
             }],
             deletes: Vec::new(),
         };
-        match self.store.call(request).await {
+        match self.client.call(request).await {
             Ok(written) => {
-                self.health.record_success(written.era)?;
                 let revision = match written.answer {
                     StoreReply::Committed { revision, .. } => revision,
                     _ => 0,
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -19,6 +19,7 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::store_client::StoreClient;
 use crate::MeshCore;
 use crate::MeshHandle;
 use crate::NodeRegistration;
@@ -40,7 +41,7 @@
 #[derive(Clone)]
 pub struct StoreFollower {
     pub(crate) handle: MeshHandle,
-    store: Rc<dyn PollingStore>,
+    client: StoreClient,
     pub(crate) health: StoreHealth,
     /// Whether the registrations have been read since the process started.
     pub(crate) registrations_read: Rc<Cell<bool>>,
@@ -51,7 +52,7 @@
     pub fn new(handle: MeshHandle, store: Rc<dyn PollingStore>, health: StoreHealth) -> Self {
         Self {
             handle,
-            store,
+            client: StoreClient::new(store, health.clone()),
             health,
             registrations_read: Rc::default(),
         }
@@ -136,10 +137,10 @@
             wait: POLL_WAIT,
         };
         let polled = tokio::select! {
-            polled = self.store.poll(request) => polled,
+            polled = self.client.poll(request) => polled,
             _ = recovery.changed() => return None,
         };
-        match polled.and_then(|polled| self.accept(polled)) {
+        match polled {
             Ok(EraAnswer { era, answer: batch }) => {
                 info!(
                     event = "store_polled",
@@ -175,20 +176,12 @@
         }
     }
 
-    /// Records a successful call.
-    ///
-    /// Errors: the answer is of an earlier era than the latest one.
-    fn accept<Answer>(&self, answered: EraAnswer<Answer>) -> Result<EraAnswer<Answer>, StoreError> {
-        self.health.record_success(answered.era)?;
-        Ok(answered)
-    }
-
     /// Makes one read call; returns the entries and the store's revision.
     pub(crate) async fn read(
         &self,
         request: StoreRequest,
     ) -> Result<(Vec<KeyEntry>, StoreRevision), StoreError> {
-        let EraAnswer { era, answer: reply } = self.accept(self.store.call(request).await?)?;
+        let EraAnswer { era, answer: reply } = self.client.call(request).await?;
         self.handle
             .with_core(|core, _| core.set_store_failing(false));
         match reply {
