Order registrations by the era in which they were written, then by revision

What callers would see: after the store has come back from a copy, requests go to slots and processes as they were before, and none to what is new, until the revisions have caught up. The cause: of two registrations of a node, and of a registration and its removal, the one with the higher revision won, and those written after the return have lower ones. Reading everything again didn't help, since it compares in the same way.

A registration now says in which era it was written, in the store and in records between nodes. One of a later era wins. The era in which it was read wouldn't do: an earlier process's registration from the copy would win over the newer one that nodes know (registration_of_an_earlier_process_does_not_come_back_.. then fails, tried). A registration that the copy has in an earlier state counts as lapsed: its node writes it again if it runs, which it does as soon as it has heard of the new era.

--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -8,6 +8,8 @@
 use sequoiagw_protocol::MemberRecord;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::TableRecords;
+use sequoiagw_store::StoreEra;
+use sequoiagw_store::StoreRevision;
 use tokio::time::Instant;
 use tracing::info;
 
@@ -22,14 +24,20 @@
 /// since each node only estimates how many nodes there are.
 const EXTRA_RETRIES_FRACTION: f64 = 0.6;
 impl MeshCore {
-    /// Replaces the directory with all registrations of the store, each with its revision.
-    pub fn on_registrations(&mut self, registrations: Vec<(NodeRegistration, u64)>, now: Instant) {
+    /// Replaces the directory with all registrations that the store has in an era, each with its
+    /// revision.
+    pub fn on_registrations(
+        &mut self,
+        registrations: Vec<(NodeRegistration, StoreRevision)>,
+        era: StoreEra,
+        now: Instant,
+    ) {
         let own = registrations
             .iter()
             .find(|(registration, _)| registration.name == self.settings.name);
         let departed = own.and_then(|(registration, _)| registration.leaving.clone());
         self.store_access = StoreAccess::Available;
-        self.directory.replace(registrations, now);
+        self.directory.replace(registrations, era, now);
         self.restore_departed(departed, now);
         self.on_directory_changed(now);
     }
@@ -169,7 +177,8 @@
         if self.directory.registration(&registration.name) == Some(&registration) {
             return None;
         }
-        let revision = self.directory.revision(self.node) + 1;
+        let mut revision = self.directory.revision(self.node);
+        revision.number += 1;
         let own = RegistrationChange::Written(registration, revision);
         self.on_registration_changes(std::slice::from_ref(&own), now);
         Some(own.to_record())
--- a/crates/sequoiagw-mesh/src/core_watchers.rs
+++ b/crates/sequoiagw-mesh/src/core_watchers.rs
@@ -7,6 +7,7 @@
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::TableDigest;
 use sequoiagw_protocol::TableHash;
+use sequoiagw_store::StoreRevision;
 use tokio::time::Instant;
 use tracing::info;
 
@@ -33,7 +34,8 @@
             data_centre: self.settings.data_centre.clone(),
             hash: self.directory.digest(),
         };
-        let own = RegistrationChange::Written(self.own_registration(), 0).to_record();
+        let unwritten = StoreRevision::default();
+        let own = RegistrationChange::Written(self.own_registration(), unwritten).to_record();
         let digest = TableDigest {
             hashes: store_available.then_some(hash).into_iter().collect(),
             sender: Some(own),
--- a/crates/sequoiagw-mesh/src/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/src/fleet_directory.rs
@@ -8,6 +8,8 @@
 use sequoiagw_protocol::MemberRecord;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::NodeId;
+use sequoiagw_store::StoreEra;
+use sequoiagw_store::StoreRevision;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
@@ -44,6 +46,18 @@
     /// Incarnation of the backend server that was leaving when the registration was written.
     #[serde(default)]
     pub leaving: Option<TargetIncarnation>,
+    /// Era of the store in which the registration was written.
+    #[serde(default)]
+    pub store_era: StoreEra,
+}
+
+impl NodeRegistration {
+    /// Revision at which the registration was written, from its number. The store may have come back
+    /// from an older copy since, which has the registration of the era before.
+    pub fn written_at(&self, number: u64) -> StoreRevision {
+        let era = self.store_era;
+        StoreRevision { era, number }
+    }
 }
 
 /// A node's registration and its state in the store.
@@ -54,7 +68,7 @@
     /// Since when the registration has been missing in the store.
     lapsed_since: Option<Instant>,
     /// Revision of the store at which the registration was last written or removed.
-    revision: u64,
+    revision: StoreRevision,
 }
 
 /// Nodes of the fleet, including those whose registrations lapsed a short time ago.
@@ -66,7 +80,7 @@
 impl FleetDirectory {
     /// Adds a registration written at a revision of the store, unless the directory has a later
     /// one; returns whether anything changed. A registration with an invalid address is ignored.
-    pub fn put(&mut self, registration: NodeRegistration, revision: u64) -> bool {
+    pub fn put(&mut self, registration: NodeRegistration, revision: StoreRevision) -> bool {
         let Some(address) = NodeAddress::parse(&registration.address) else {
             return false;
         };
@@ -102,7 +116,7 @@
     }
 
     /// Marks a registration as lapsed, unless it was written after `revision`.
-    pub fn remove(&mut self, node: NodeId, revision: u64, now: Instant) {
+    pub fn remove(&mut self, node: NodeId, revision: StoreRevision, now: Instant) {
         if let Some(record) = self.nodes.get_mut(&node) {
             if revision >= record.revision {
                 record.lapsed_since.get_or_insert(now);
@@ -111,19 +125,32 @@
         }
     }
 
-    /// Applies all registrations of the store, each with its revision, and marks the others as
-    /// lapsed.
-    pub fn replace(&mut self, registrations: Vec<(NodeRegistration, u64)>, now: Instant) {
-        let present: Vec<NodeId> = registrations
-            .iter()
-            .map(|(registration, _)| NodeId::from_name(&registration.name))
+    /// Applies all registrations that the store has in an era, each with its revision, and marks the
+    /// others as lapsed.
+    ///
+    /// A registration that was written before the store came back from an older copy stays as it is,
+    /// if the copy has an earlier one. It counts as lapsed, since the node writes it again if it is
+    /// running.
+    pub fn replace(
+        &mut self,
+        registrations: Vec<(NodeRegistration, StoreRevision)>,
+        era: StoreEra,
+        now: Instant,
+    ) {
+        let mut stored: BTreeMap<NodeId, (NodeRegistration, StoreRevision)> = registrations
+            .into_iter()
+            .map(|stored| (NodeId::from_name(&stored.0.name), stored))
             .collect();
         for (node, record) in &mut self.nodes {
-            if !present.contains(node) {
+            let is_lost = stored.get(node).is_none_or(|(_, revision)| {
+                record.revision.era < era && *revision < record.revision
+            });
+            if is_lost {
                 record.lapsed_since.get_or_insert(now);
+                stored.remove(node);
             }
         }
-        for (registration, revision) in registrations {
+        for (registration, revision) in stored.into_values() {
             self.put(registration, revision);
         }
     }
@@ -225,10 +252,11 @@
             })
     }
 
-    /// Revision of the store at which a node's registration was last written or removed, 0 for an
-    /// unknown node.
-    pub fn revision(&self, node: NodeId) -> u64 {
-        self.nodes.get(&node).map_or(0, |record| record.revision)
+    /// Revision of the store at which a node's registration was last written or removed, the first
+    /// one for an unknown node.
+    pub fn revision(&self, node: NodeId) -> StoreRevision {
+        let record = self.nodes.get(&node);
+        record.map_or_else(StoreRevision::default, |record| record.revision)
     }
 
     /// Records for peers of all registrations that haven't lapsed.
--- a/crates/sequoiagw-mesh/src/follower_registrations.rs
+++ b/crates/sequoiagw-mesh/src/follower_registrations.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use sequoiagw_store::KeyChange;
+use sequoiagw_store::StoreEra;
 use sequoiagw_store::StoreRequest;
 use sequoiagw_store::StoreRevision;
 use tokio::time::sleep;
@@ -36,7 +37,8 @@
                     break;
                 };
                 after.number = batch.revision;
-                self.apply_registration_changes(&batch.changes).await;
+                self.apply_registration_changes(&batch.changes, after.era)
+                    .await;
             }
             self.wait_while_watchers_report(MeshCore::take_pending_registration_read)
                 .await;
@@ -44,10 +46,10 @@
     }
 
     /// Applies changes of registrations and sends them to the nodes of the data centre.
-    async fn apply_registration_changes(&self, changes: &[KeyChange]) {
+    async fn apply_registration_changes(&self, changes: &[KeyChange], era: StoreEra) {
         let changes: Vec<RegistrationChange> = changes
             .iter()
-            .filter_map(RegistrationChange::from_key)
+            .filter_map(|change| RegistrationChange::from_key(change, era))
             .collect();
         if changes.is_empty() {
             return;
@@ -81,10 +83,14 @@
             Ok((nodes, revision)) => {
                 let registrations = nodes
                     .iter()
-                    .filter_map(|entry| Some((parse_registration(entry)?, entry.mod_revision)))
+                    .filter_map(|entry| {
+                        let registration = parse_registration(entry)?;
+                        let written_at = registration.written_at(entry.mod_revision);
+                        Some((registration, written_at))
+                    })
                     .collect();
                 self.handle.with_core(|core, now| {
-                    core.on_registrations(registrations, now);
+                    core.on_registrations(registrations, revision.era, now);
                     // The other nodes wait for a sign that they have watchers.
                     core.broadcast_digest(true, now);
                 });
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -22,6 +22,7 @@
 use sequoiagw_policy::RunId;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
+use sequoiagw_store::StoreEra;
 use tokio::time::Instant;
 
 use crate::FleetDirectory;
@@ -76,6 +77,8 @@
     pub(crate) draining: bool,
     pub(crate) refusing_callers: bool,
     pub(crate) store_access: StoreAccess,
+    /// Latest known era of the store.
+    pub(crate) store_era: StoreEra,
     pub(crate) counters: NodeCounters,
     pub(crate) actions: Vec<MeshAction>,
 }
@@ -113,6 +116,7 @@
             draining: false,
             refusing_callers: false,
             store_access: StoreAccess::Available,
+            store_era: StoreEra::default(),
             counters,
             actions: Vec::new(),
             settings,
@@ -174,6 +178,14 @@
         };
     }
 
+    /// Records the era of the store. The node's registration has to be written again in each.
+    pub fn set_store_era(&mut self, era: StoreEra) {
+        if era != self.store_era {
+            self.store_era = era;
+            self.actions.push(MeshAction::RegistrationChanged);
+        }
+    }
+
     /// Sets the time until the large frames that wait at this host have been sent.
     pub fn set_link_wait(&mut self, link_wait: Duration) {
         self.calls.owner.set_link_wait(link_wait);
@@ -195,6 +207,7 @@
             slots: if self.draining { 0 } else { self.offered_slots },
             link_mbps: self.settings.link_mbps,
             leaving: self.target.leaving().cloned(),
+            store_era: self.store_era,
         }
     }
 
--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -66,8 +66,8 @@
     /// Creates a registrar that hasn't written a registration yet.
     pub fn new(handle: MeshHandle, store: Rc<dyn PollingStore>, health: StoreHealth) -> Self {
         Self {
+            client: StoreClient::new(handle.clone(), store, health.clone()),
             handle,
-            client: StoreClient::new(store, health.clone()),
             health,
             lease: None,
             written: None,
@@ -133,14 +133,14 @@
         }
         loop {
             self.drop_superseded_lease();
-            let current = self.handle.read(MeshCore::own_registration);
-            if self.written.as_ref() == Some(&current) {
+            if self.written == Some(self.handle.read(MeshCore::own_registration)) {
                 return Ok(());
             }
             let lease = match self.lease {
                 Some(lease) => lease,
                 None => self.grant().await?,
             };
+            let current = self.handle.read(MeshCore::own_registration);
             self.write(current, lease.id).await?;
             if self.lease.is_none() {
                 return Ok(());
@@ -233,10 +233,11 @@
         };
         match self.client.call(request).await {
             Ok(written) => {
-                let revision = match written.answer {
+                let number = match written.answer {
                     StoreReply::Committed { revision, .. } => revision,
                     _ => 0,
                 };
+                let revision = registration.written_at(number);
                 let change = [RegistrationChange::Written(registration.clone(), revision)];
                 self.handle
                     .with_core(|core, now| core.on_registration_changes(&change, now));
--- a/crates/sequoiagw-mesh/src/registration_change.rs
+++ b/crates/sequoiagw-mesh/src/registration_change.rs
@@ -5,6 +5,8 @@
 use sequoiagw_protocol::MemberState;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_store::KeyChange;
+use sequoiagw_store::StoreEra;
+use sequoiagw_store::StoreRevision;
 
 use crate::store_follower::parse_registration;
 use crate::store_follower::NODES_PREFIX;
@@ -15,29 +17,35 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum RegistrationChange {
     /// The registration was written, at this revision of the store.
-    Written(NodeRegistration, u64),
+    Written(NodeRegistration, StoreRevision),
     /// The registration of this node was removed, at this revision of the store.
-    Removed(NodeId, u64),
+    Removed(NodeId, StoreRevision),
 }
 
 impl RegistrationChange {
-    /// Converts a change of a key in the store; `None` if the key holds no valid registration.
-    pub fn from_key(change: &KeyChange) -> Option<Self> {
+    /// Converts a change of a key in the store, of which the store told in `era`; `None` if the key
+    /// holds no valid registration.
+    pub fn from_key(change: &KeyChange, era: StoreEra) -> Option<Self> {
         match change {
             KeyChange::Written(entry) => {
                 let registration = parse_registration(entry)?;
-                Some(Self::Written(registration, entry.mod_revision))
+                let revision = registration.written_at(entry.mod_revision);
+                Some(Self::Written(registration, revision))
             }
             KeyChange::Deleted { key, revision } => {
                 let name = key.strip_prefix(NODES_PREFIX)?;
-                Some(Self::Removed(NodeId::from_name(name), *revision))
+                let number = *revision;
+                let revision = StoreRevision { era, number };
+                Some(Self::Removed(NodeId::from_name(name), revision))
             }
         }
     }
 
     /// Converts a record from a peer.
     pub fn from_record(record: MemberRecord) -> Self {
-        let revision = u64::from(record.revision);
+        let era = StoreEra(record.store_era);
+        let number = u64::from(record.revision);
+        let revision = StoreRevision { era, number };
         if record.state() == MemberState::Left {
             return Self::Removed(NodeId::from(record.node), revision);
         }
@@ -53,6 +61,7 @@
                 instance: leaving.instance,
                 born_ms: leaving.born_ms,
             }),
+            store_era: era,
         };
         Self::Written(registration, revision)
     }
@@ -62,14 +71,16 @@
         match self {
             Self::Removed(node, revision) => MemberRecord {
                 node: node.get(),
-                revision: *revision as u32,
+                revision: revision.number as u32,
+                store_era: revision.era.0,
                 state: MemberState::Left.into(),
                 ..MemberRecord::default()
             },
             Self::Written(registration, revision) => MemberRecord {
                 node: NodeId::from_name(&registration.name).get(),
                 boot: registration.boot,
-                revision: *revision as u32,
+                revision: revision.number as u32,
+                store_era: revision.era.0,
                 state: MemberState::Ready.into(),
                 address: registration.address.clone(),
                 data_centre: registration.data_centre.clone(),
--- a/crates/sequoiagw-mesh/src/store_client.rs
+++ b/crates/sequoiagw-mesh/src/store_client.rs
@@ -10,19 +10,29 @@
 use sequoiagw_store::StoreReply;
 use sequoiagw_store::StoreRequest;
 
+use crate::MeshHandle;
 use crate::StoreHealth;
 
 /// Access to the store that records what each answer shows of it.
 #[derive(Clone)]
 pub(crate) struct StoreClient {
+    handle: MeshHandle,
     store: Rc<dyn PollingStore>,
     health: StoreHealth,
 }
 
 impl StoreClient {
-    /// Access to `store` that records answers in `health`.
-    pub(crate) fn new(store: Rc<dyn PollingStore>, health: StoreHealth) -> Self {
-        Self { store, health }
+    /// Access to `store` that records answers in `health`, and their era also in the node.
+    pub(crate) fn new(
+        handle: MeshHandle,
+        store: Rc<dyn PollingStore>,
+        health: StoreHealth,
+    ) -> Self {
+        Self {
+            handle,
+            store,
+            health,
+        }
     }
 
     /// Makes one call.
@@ -45,6 +55,8 @@
 
     fn accept<Answer>(&self, answered: EraAnswer<Answer>) -> Result<EraAnswer<Answer>, StoreError> {
         self.health.record_success(answered.era)?;
+        self.handle
+            .with_core(|core, _| core.set_store_era(answered.era));
         Ok(answered)
     }
 }
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -51,8 +51,8 @@
     /// Creates a follower that passes the content of `store` to `handle`.
     pub fn new(handle: MeshHandle, store: Rc<dyn PollingStore>, health: StoreHealth) -> Self {
         Self {
+            client: StoreClient::new(handle.clone(), store, health.clone()),
             handle,
-            client: StoreClient::new(store, health.clone()),
             health,
             registrations_read: Rc::default(),
         }
--- a/crates/sequoiagw-mesh/tests/fleet/restored_store.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/restored_store.rs
@@ -293,19 +293,22 @@
 #[tokio::test(start_paused = true)]
 async fn registration_of_an_earlier_process_does_not_come_back_with_a_copy() {
     run(async {
-        let mut fleet = Fleet::start().await;
-        let copy = fleet.store.copy();
-        fleet.restart("d", 2);
-        sleep(REGISTRATION_LIMIT).await;
-        fleet.store.restore(copy, WaitingPolls::Cut);
-        let end = Instant::now() + Duration::from_secs(20);
-        while Instant::now() < end {
-            let views = fleet.views_of("d");
-            assert_eq!(views.len(), 4, "all nodes use it: {views:?}");
-            for (viewer, boot, _) in views {
-                assert_eq!(boot, 2, "known to {viewer}");
+        // The moment of the restore relative to the renewals is varied.
+        for step in 0..5 {
+            let mut fleet = Fleet::start().await;
+            let copy = fleet.store.copy();
+            fleet.restart("d", 2);
+            sleep(REGISTRATION_LIMIT + Duration::from_millis(400) * step).await;
+            fleet.store.restore(copy, WaitingPolls::Lost);
+            let end = Instant::now() + Duration::from_secs(20);
+            while Instant::now() < end {
+                let views = fleet.views_of("d");
+                assert_eq!(views.len(), 4, "all nodes use it: {views:?}");
+                for (viewer, boot, _) in views {
+                    assert_eq!(boot, 2, "known to {viewer}, step {step}");
+                }
+                sleep(Duration::from_millis(100)).await;
             }
-            sleep(Duration::from_millis(100)).await;
         }
     })
     .await;
--- a/crates/sequoiagw-mesh/tests/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/tests/fleet_directory.rs
@@ -7,6 +7,8 @@
 use sequoiagw_mesh::RegistrationChange;
 use sequoiagw_mesh::WatcherMonitor;
 use sequoiagw_protocol::NodeId;
+use sequoiagw_store::StoreEra;
+use sequoiagw_store::StoreRevision;
 use tokio::time::Instant;
 
 fn registration(name: &str, boot: u64) -> NodeRegistration {
@@ -19,9 +21,15 @@
         slots: 12,
         link_mbps: 0,
         leaving: None,
+        store_era: StoreEra::default(),
     }
 }
 
+fn at_revision(number: u64) -> StoreRevision {
+    let era = StoreEra::default();
+    StoreRevision { era, number }
+}
+
 fn no_contact(_: NodeId) -> Option<Instant> {
     None
 }
@@ -29,7 +37,7 @@
 #[test]
 fn uses_boot_from_link_before_new_registration_arrives() {
     let mut directory = FleetDirectory::default();
-    directory.put(registration("a", 1), 5);
+    directory.put(registration("a", 1), at_revision(5));
     let node = NodeId::from_name("a");
     assert!(directory.on_restart(node, 2));
     assert!(
@@ -39,7 +47,7 @@
     let target = &directory.targets()["press"][0];
     assert_eq!((target.boot, target.slots), (2, 12));
     assert!(
-        !directory.put(registration("a", 1), 5),
+        !directory.put(registration("a", 1), at_revision(5)),
         "reading the previous registration again must change nothing"
     );
     assert!(!directory.on_restart(NodeId::from_name("b"), 1));
@@ -49,12 +57,12 @@
 fn keeps_node_during_grace_time_after_its_registration_lapsed() {
     let now = Instant::now();
     let mut directory = FleetDirectory::default();
-    directory.put(registration("a", 1), 5);
-    directory.remove(NodeId::from_name("a"), 6, now);
+    directory.put(registration("a", 1), at_revision(5));
+    directory.remove(NodeId::from_name("a"), at_revision(6), now);
     directory.expire(now + Duration::from_secs(2), no_contact);
     assert_eq!(directory.targets()["press"].len(), 1);
     assert!(
-        directory.put(registration("a", 1), 7),
+        directory.put(registration("a", 1), at_revision(7)),
         "a lapsed registration written again must count as a change"
     );
     directory.expire(now + Duration::from_secs(9), no_contact);
@@ -65,9 +73,9 @@
 fn removes_lapsed_node_unless_there_was_recent_contact() {
     let now = Instant::now();
     let mut directory = FleetDirectory::default();
-    directory.put(registration("a", 1), 5);
-    directory.put(registration("b", 1), 6);
-    directory.replace(Vec::new(), now);
+    directory.put(registration("a", 1), at_revision(5));
+    directory.put(registration("b", 1), at_revision(6));
+    directory.replace(Vec::new(), StoreEra::default(), now);
     let later = now + Duration::from_secs(4);
     let last_contact = |node| (node == NodeId::from_name("a")).then_some(later);
     assert!(directory.expire(later, last_contact));
@@ -79,9 +87,9 @@
 fn keeps_newest_registration_when_changes_arrive_out_of_order() {
     let now = Instant::now();
     let mut directory = FleetDirectory::default();
-    directory.put(registration("a", 2), 9);
-    assert!(!directory.put(registration("a", 1), 8));
-    directory.remove(NodeId::from_name("a"), 7, now);
+    directory.put(registration("a", 2), at_revision(9));
+    assert!(!directory.put(registration("a", 1), at_revision(8)));
+    directory.remove(NodeId::from_name("a"), at_revision(7), now);
     assert_eq!(
         directory
             .registration("a")
@@ -92,12 +100,12 @@
 
 #[test]
 fn registration_change_survives_conversion_to_record() {
-    let written = RegistrationChange::Written(registration("a", 7), 42);
+    let written = RegistrationChange::Written(registration("a", 7), at_revision(42));
     assert_eq!(
         RegistrationChange::from_record(written.to_record()),
         written
     );
-    let removed = RegistrationChange::Removed(NodeId::from_name("a"), 43);
+    let removed = RegistrationChange::Removed(NodeId::from_name("a"), at_revision(43));
     assert_eq!(
         RegistrationChange::from_record(removed.to_record()),
         removed
--- a/crates/sequoiagw-mesh/tests/mesh_core.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core.rs
@@ -20,6 +20,8 @@
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PeerFrame;
 use sequoiagw_protocol::RankLevel;
+use sequoiagw_store::StoreEra;
+use sequoiagw_store::StoreRevision;
 use support::address;
 use support::registration;
 use support::settings;
@@ -29,14 +31,20 @@
 
 const BOOT: u64 = 1;
 
+/// A registration as the store has it.
+fn stored(registration: NodeRegistration) -> (NodeRegistration, StoreRevision) {
+    let revision = registration.written_at(5);
+    (registration, revision)
+}
+
 /// Creates the node `name` with the registrations of the nodes `registered`.
 fn core_with(name: &str, registered: &[&str], now: Instant) -> MeshCore {
     let mut core = MeshCore::new(settings(name), BOOT, NodeCounters::default());
     let registrations = registered
         .iter()
-        .map(|node| (registration(node, BOOT), 5))
+        .map(|node| stored(registration(node, BOOT)))
         .collect();
-    core.on_registrations(registrations, now);
+    core.on_registrations(registrations, StoreEra::default(), now);
     core.take_actions();
     core
 }
@@ -203,11 +211,11 @@
         let mut core = MeshCore::new(settings(own), BOOT, NodeCounters::default());
         let mut registrations: Vec<_> = NODES
             .iter()
-            .map(|node| (registration(node, BOOT), 5))
+            .map(|node| stored(registration(node, BOOT)))
             .collect();
-        registrations.push((southern_registration("s", 1), 5));
-        registrations.push((southern_registration("t", 2), 5));
-        core.on_registrations(registrations, now);
+        registrations.push(stored(southern_registration("s", 1)));
+        registrations.push(stored(southern_registration("t", 2)));
+        core.on_registrations(registrations, StoreEra::default(), now);
         core.activate_from_store(&version_one, now);
         core.take_actions();
         let body = FrameBody::VersionDelta(delta.clone());
--- a/crates/sequoiagw-mesh/tests/store_follower.rs
+++ b/crates/sequoiagw-mesh/tests/store_follower.rs
@@ -139,6 +139,13 @@
     }
 }
 
+/// The first registration of a node.
+fn written(name: &str) -> RegistrationChange {
+    let registration = registration(name, BOOT);
+    let revision = registration.written_at(5);
+    RegistrationChange::Written(registration, revision)
+}
+
 /// Links that drop all frames.
 struct NoLinks;
 
@@ -179,7 +186,7 @@
         };
         let digest = TableDigest {
             hashes: vec![hash],
-            sender: Some(RegistrationChange::Written(registration("a", BOOT), 5).to_record()),
+            sender: Some(written("a").to_record()),
             version: number,
         };
         let frame = PeerFrame::new(NodeId::from_name("a"), BOOT, FrameBody::Digest(digest));
@@ -228,7 +235,7 @@
         store.read_time.set(Duration::from_millis(400));
         let handle = follow("c", &store);
         // The node's own registration is the only one that it knows before it has read the others.
-        let own = RegistrationChange::Written(registration("c", BOOT), 5);
+        let own = written("c");
         handle.with_core(|core, now| core.on_registration_changes(&[own], now));
         sleep(Duration::from_millis(700)).await;
         handle.apply_config(&Bytes::from("3"));
--- a/crates/sequoiagw-mesh/tests/support/mod.rs
+++ b/crates/sequoiagw-mesh/tests/support/mod.rs
@@ -11,6 +11,7 @@
 use sequoiagw_mesh::RetryBudgetSettings;
 use sequoiagw_mesh::WeightedService;
 use sequoiagw_protocol::RankLevel;
+use sequoiagw_store::StoreEra;
 
 /// Names of the nodes, all in one data centre; the first two have the fastest links.
 pub const NODES: [&str; 4] = ["a", "b", "c", "d"];
@@ -59,6 +60,7 @@
         slots: 12,
         link_mbps: link_mbps(name),
         leaving: None,
+        store_era: StoreEra::default(),
     }
 }
 
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -77,6 +77,9 @@
     /// Process of the backend server that is leaving, if there is one.
     #[prost(message, optional, tag = "13")]
     pub leaving: Option<LeavingBackend>,
+    /// Era of the store to which the revision belongs.
+    #[prost(uint64, tag = "14")]
+    pub store_era: u64,
 }
 
 /// Probe of a member, or request to probe another one on the sender's behalf.
