Ask the watchers what an earlier process of the node last registered

What callers would see: requests at a backend server later than drainTimeoutMs after its leave notice was acknowledged, if the store comes back from a copy without that notice and the node restarts before it has registered again. The cause: a process that starts learns from the store alone which backend server has left. Class: a fact that was acknowledged to somebody kept in one place, which may lose it.

The nodes of the data centre know the registration, also when it has lapsed or the node has been away for up to a minute. A process that starts asks its watchers for the latest one of its own node, a frame of some 20 bytes to each, and takes the incarnation that was leaving over from it. A later incarnation isn't replaced by an earlier one.

If no node of the data centre knew the notice, it is lost; that remains.

--- a/crates/sequoiagw-membership/src/table_sync.rs
+++ b/crates/sequoiagw-membership/src/table_sync.rs
@@ -97,6 +97,7 @@
                 records,
                 requested_data_centres: std::mem::take(&mut requested_data_centres),
                 is_table_copy: true,
+                ..TableRecords::default()
             };
             self.send(node, FrameBody::Records(body));
             chunk = chunks.next();
--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -145,6 +145,33 @@
         self.send(peer, FrameBody::Records(request));
     }
 
+    /// Requests this node's latest registration from the watchers of the data centre. The store may
+    /// have lost what an earlier process wrote, if it came back from an older copy.
+    pub fn request_own_record(&mut self, now: Instant) {
+        let watchers = self.watchers_in(&self.settings.data_centre);
+        let request = TableRecords {
+            requested_nodes: vec![self.node.get()],
+            ..TableRecords::default()
+        };
+        for watcher in watchers {
+            if watcher != self.node {
+                self.send(watcher, FrameBody::Records(request.clone()));
+            }
+        }
+        self.process_actions(now);
+    }
+
+    /// Sends a peer the records of some nodes, as far as they are known.
+    pub(crate) fn send_records_of(&mut self, peer: NodeId, nodes: &[u64]) {
+        let nodes = nodes.iter().copied().map(NodeId::from);
+        let records: Vec<MemberRecord> = nodes
+            .filter_map(|node| self.directory.record(node))
+            .collect();
+        if !records.is_empty() {
+            self.send(peer, records_body(records));
+        }
+    }
+
     /// Sends this node's registration to all nodes without the store, unless the directory
     /// already has it. It carries the boot of this process and the slots offered now.
     pub(crate) fn announce_registration(&mut self, now: Instant) {
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -98,6 +98,8 @@
                 if requested {
                     let records = self.directory.records();
                     self.send(from, records_body(records));
+                } else if !received.requested_nodes.is_empty() {
+                    self.send_records_of(from, &received.requested_nodes);
                 } else if self.store_access == StoreAccess::Bypassed {
                     self.announce_registration(now);
                 }
--- a/crates/sequoiagw-mesh/src/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/src/fleet_directory.rs
@@ -74,6 +74,12 @@
     revision: StoreRevision,
 }
 
+impl DirectoryRecord {
+    fn to_message(&self) -> MemberRecord {
+        RegistrationChange::Written(self.registration.clone(), self.revision).to_record()
+    }
+}
+
 /// Nodes of the fleet, including those whose registrations lapsed a short time ago.
 #[derive(Debug, Default)]
 pub struct FleetDirectory {
@@ -82,11 +88,10 @@
 }
 
 /// A node that was removed after its registration had lapsed.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct NodeDeparture {
     removed_at: Instant,
-    /// Revision of the store at which the registration was last written or removed.
-    revision: StoreRevision,
+    record: DirectoryRecord,
 }
 
 impl FleetDirectory {
@@ -166,7 +171,8 @@
         for (node, (registration, revision)) in stored {
             let departure = self.departures.get(&node);
             let has_departed = departure.is_some_and(|departure| {
-                departure.revision.era < era && revision <= departure.revision
+                let departed_at = departure.record.revision;
+                departed_at.era < era && revision <= departed_at
             });
             if !has_departed {
                 self.put(registration, revision);
@@ -195,7 +201,7 @@
             if expired {
                 let departure = NodeDeparture {
                     removed_at: now,
-                    revision: record.revision,
+                    record: record.clone(),
                 };
                 self.departures.insert(*node, departure);
             }
@@ -220,9 +226,16 @@
             .then_some(&record.registration)
     }
 
-    /// Address of a node.
+    /// Address of a node, also of one that departed a short time ago.
     pub fn address(&self, node: NodeId) -> Option<NodeAddress> {
-        self.nodes.get(&node).map(|record| record.address)
+        self.latest_record(node).map(|record| record.address)
+    }
+
+    fn latest_record(&self, node: NodeId) -> Option<&DirectoryRecord> {
+        let departure = self.departures.get(&node);
+        self.nodes
+            .get(&node)
+            .or_else(|| departure.map(|departure| &departure.record))
     }
 
     /// Name of a node.
@@ -296,12 +309,12 @@
             .nodes
             .values()
             .filter(|record| record.lapsed_since.is_none());
-        registered
-            .map(|record| {
-                RegistrationChange::Written(record.registration.clone(), record.revision)
-                    .to_record()
-            })
-            .collect()
+        registered.map(DirectoryRecord::to_message).collect()
+    }
+
+    /// Record for peers of a node's latest registration, also of one that has lapsed.
+    pub fn record(&self, node: NodeId) -> Option<MemberRecord> {
+        self.latest_record(node).map(DirectoryRecord::to_message)
     }
 
     /// Number of nodes, including those whose registrations have lapsed.
--- a/crates/sequoiagw-mesh/src/follower_registrations.rs
+++ b/crates/sequoiagw-mesh/src/follower_registrations.rs
@@ -94,7 +94,9 @@
                     // The other nodes wait for a sign that they have watchers.
                     core.broadcast_digest(true, now);
                 });
-                self.registrations_read.set(true);
+                if !self.registrations_read.replace(true) {
+                    self.handle.with_core(MeshCore::request_own_record);
+                }
                 info!(event = "store_read", revision = %revision, nodes = nodes.len());
                 Some(revision)
             }
--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -98,12 +98,15 @@
     }
 
     /// Restores the incarnation that was leaving from the registration that an earlier process of
-    /// this node wrote.
+    /// this node wrote, unless a later one is known.
     pub fn restore_departed(&mut self, incarnation: TargetIncarnation) {
         if let Some(current) = &mut self.current {
             current.leaving |= current.incarnation == incarnation;
         }
-        self.departed = Some(incarnation);
+        let known = self.departed.as_ref();
+        if known.is_none_or(|departed| departed.born_ms <= incarnation.born_ms) {
+            self.departed = Some(incarnation);
+        }
     }
 
     /// Handles a heartbeat. Within an incarnation the highest sequence number wins, and among
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -174,6 +174,9 @@
     /// doesn't forward such a copy, which is new to itself only.
     #[prost(bool, tag = "3")]
     pub is_table_copy: bool,
+    /// Ids of nodes whose records the sender requests in return.
+    #[prost(fixed64, repeated, tag = "4")]
+    pub requested_nodes: Vec<u64>,
 }
 
 /// First frame that each end sends on a link.
