Keep naming the backend server that left when its node restarts twice

Found while looking for what else goes back with the store. A process took over from its predecessor which backend server had left, and wrote a registration without it. The process after that knew nothing and used a late heartbeat of that server: the third process after a leave notice, or the second after one that the next process wrote. Class: a fact read at the start and not handed on.

backend_server_that_left_stays_named_over_a_second_restart_of_its_node failed before (None).

--- a/crates/sequoiagw-mesh/src/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/src/fleet_directory.rs
@@ -46,7 +46,8 @@
     /// Bandwidth of the host's link, in Mbit/s; 0 when unknown.
     #[serde(default)]
     pub link_mbps: u32,
-    /// Incarnation of the backend server that was leaving when the registration was written.
+    /// Latest incarnation of the backend server that was known to be leaving, or to have left, when
+    /// the registration was written.
     #[serde(default)]
     pub leaving: Option<TargetIncarnation>,
     /// Era of the store in which the registration was written.
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -206,7 +206,7 @@
             service: self.settings.backend.service.clone(),
             slots: if self.draining { 0 } else { self.offered_slots },
             link_mbps: self.settings.link_mbps,
-            leaving: self.target.leaving().cloned(),
+            leaving: self.target.latest_departure().cloned(),
             store_era: self.store_era,
         }
     }
--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -203,6 +203,11 @@
         current.map(|current| &current.incarnation)
     }
 
+    /// Incarnation that is leaving or, if there is none, the latest one that has left.
+    pub fn latest_departure(&self) -> Option<&TargetIncarnation> {
+        self.leaving().or(self.departed.as_ref())
+    }
+
     /// Whether the backend server started so recently that it is still slower.
     pub fn is_warming_up(&self, now: Instant) -> bool {
         self.current
--- a/crates/sequoiagw-mesh/tests/mesh_core.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core.rs
@@ -10,6 +10,7 @@
 use sequoiagw_mesh::MeshAction;
 use sequoiagw_mesh::MeshCore;
 use sequoiagw_mesh::NodeRegistration;
+use sequoiagw_mesh::TargetIncarnation;
 use sequoiagw_node::BackendNotice;
 use sequoiagw_node::NodeCounters;
 use sequoiagw_policy::CallRequest;
@@ -266,3 +267,22 @@
     core.on_heartbeat(&heartbeat(2), now);
     assert_eq!(take_runs(&mut core), 3);
 }
+
+#[tokio::test(start_paused = true)]
+async fn backend_server_that_left_stays_named_over_a_second_restart_of_its_node() {
+    let now = Instant::now();
+    let left = TargetIncarnation {
+        instance: "press-1".to_owned(),
+        born_ms: 1,
+    };
+    let mut registered = NodeRegistration {
+        leaving: Some(left.clone()),
+        ..registration("a", BOOT)
+    };
+    for boot in 2..4 {
+        let mut core = MeshCore::new(settings("a"), boot, NodeCounters::default());
+        core.on_registrations(vec![stored(registered)], StoreEra::default(), now);
+        registered = core.own_registration();
+        assert_eq!(registered.leaving, Some(left.clone()), "process {boot}");
+    }
+}
