Let the store come back from a copy in soak runs

Once in each run that has more than planned maintenance, from a copy of 0.2 to 8 s and after up to 2 s away. The injection of faults got a file of its own.

--- a/crates/sequoiagw-soak/src/fault_plan.rs
+++ b/crates/sequoiagw-soak/src/fault_plan.rs
@@ -66,6 +66,9 @@
 /// Bounds of a fault's duration.
 const MIN_FAULT_DURATION_MS: u64 = 300;
 const MAX_FAULT_DURATION_MS: u64 = 4500;
+/// Bounds of the age of a copy from which the store comes back, and of the time that it is away.
+const MAX_COPY_AGE_MS: u64 = 8000;
+const MAX_RESTORE_OUTAGE_MS: u64 = 2000;
 
 impl FaultKind {
     /// Whether this is planned maintenance, during which no request may be cut off.
@@ -104,10 +107,45 @@
     }
 }
 
+/// Return of the store from an older copy.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct ScheduledRestore {
+    /// Time at which the copy is made, counted from the start of the faults.
+    pub copied_at: Duration,
+    /// Age of the copy when the store goes away.
+    pub copy_age: Duration,
+    /// Time for which the store is away.
+    pub outage: Duration,
+}
+
+impl ScheduledRestore {
+    fn generate(rng: &mut ChaCha8Rng, run_time: Duration) -> Self {
+        Self {
+            copied_at: run_time.mul_f64(rng.random_range(0.1..0.5)),
+            copy_age: Duration::from_millis(rng.random_range(200..MAX_COPY_AGE_MS)),
+            outage: Duration::from_millis(rng.random_range(0..MAX_RESTORE_OUTAGE_MS)),
+        }
+    }
+}
+
+impl fmt::Display for ScheduledRestore {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let at = (self.copied_at + self.copy_age).as_secs_f64();
+        let age = self.copy_age.as_secs_f64();
+        let outage = self.outage.as_secs_f64();
+        write!(
+            formatter,
+            "{at:7.3} s store away for {outage:.1} s, restored from a copy {age:.1} s old"
+        )
+    }
+}
+
 /// Faults in the order of their start.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct FaultPlan {
     pub faults: Vec<ScheduledFault>,
+    /// Return of the store from an older copy, in schedules that have more than planned maintenance.
+    pub restore: Option<ScheduledRestore>,
 }
 
 impl FaultPlan {
@@ -135,6 +173,10 @@
             });
             at += MAX_FAULT_INTERVAL.mul_f64(rng.random::<f64>());
         }
-        Self { faults }
+        let restore = ScheduledRestore::generate(&mut rng, run_time);
+        Self {
+            faults,
+            restore: (!maintenance_only).then_some(restore),
+        }
     }
 }
--- a/crates/sequoiagw-soak/src/lib.rs
+++ b/crates/sequoiagw-soak/src/lib.rs
@@ -2,6 +2,7 @@
 //! guarantees from what callers and backend servers observe.
 
 mod caller_load;
+mod fault_injection;
 mod fault_plan;
 mod guarantee_checker;
 mod loopback_proxy;
@@ -12,6 +13,7 @@
 pub use fault_plan::FaultKind;
 pub use fault_plan::FaultPlan;
 pub use fault_plan::ScheduledFault;
+pub use fault_plan::ScheduledRestore;
 pub use guarantee_checker::CallRecord;
 pub use guarantee_checker::GuaranteeChecker;
 pub use guarantee_checker::GuaranteeKind;
--- a/crates/sequoiagw-soak/src/soak_fleet.rs
+++ b/crates/sequoiagw-soak/src/soak_fleet.rs
@@ -12,6 +12,7 @@
 use std::time::Duration;
 
 use sequoiagw_platform_standins::config_json;
+use sequoiagw_platform_standins::KvContent;
 use sequoiagw_platform_standins::KvStandin;
 use sequoiagw_platform_standins::NodeAddresses;
 use sequoiagw_platform_standins::PlatformBackend;
@@ -75,10 +76,21 @@
         Ok(fleet)
     }
 
-    /// Writes the next configuration version. The `order` route alternates between the services.
+    /// Writes the next configuration version.
     pub(crate) fn change_config(&self) {
-        let version = self.version.get() + 1;
-        self.version.set(version);
+        self.version.set(self.version.get() + 1);
+        self.write_config();
+    }
+
+    /// Lets the store come back from an older copy. The operators write their version again.
+    pub(crate) fn restore_store(&self, copy: KvContent) {
+        self.store.restore(copy);
+        self.write_config();
+    }
+
+    /// Writes the latest configuration version. The `order` route alternates between the services.
+    fn write_config(&self) {
+        let version = self.version.get();
         let mut routes = vec![
             RouteConfig {
                 name: "order".to_owned(),
