Take only what a node wrote for the registration of a node

From the reports of other operators: an odd entry among those of the targets ended the machines that read the list, or kept them from following it. But the lists of the code before had:

- a node with 4,294,967,295 slots, and one at port 0, used as targets
- a valid entry without a lease, which would never lapse
- another writer's entry under a node's key, which the node left there if others skipped it

An entry now has to name an address with a port, at most 100,000 slots, an era that has begun, and a lease, under which every node registers. One under a node's key that isn't its registration counts as its removal, so the node writes its own again. Each entry that is skipped is logged with the reason.

odd_entry_of_another_writer_neither_ends_a_node_nor_stops_it_from_following, entry_without_a_lease_is_not_taken_for_a_node and entry_of_another_writer_under_a_nodes_name_is_replaced_by_the_node failed before (5 nodes instead of 4, a foreign service among the targets). Registrations have a file of their own.

--- a/crates/sequoiagw-mesh/src/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/src/fleet_directory.rs
@@ -10,13 +10,11 @@
 use sequoiagw_protocol::NodeId;
 use sequoiagw_store::StoreEra;
 use sequoiagw_store::StoreRevision;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::NodeRegistration;
 use crate::RegistrationChange;
-use crate::TargetIncarnation;
 
 /// Time for which a node is still used after its registration has lapsed, so that running nodes
 /// can register again after an outage of the store.
@@ -28,42 +26,6 @@
 /// Time for which a departed node is remembered. A copy from which the store comes back is younger.
 const DEPARTURE_RETENTION: Duration = Duration::from_secs(60);
 
-/// Registration of a node in the store.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct NodeRegistration {
-    /// Name, unique in the fleet.
-    pub name: String,
-    /// Random number that identifies this start of the node.
-    pub boot: u64,
-    /// Address for links from other nodes, `ip:port`.
-    pub address: String,
-    /// Data centre.
-    pub data_centre: String,
-    /// Service of the backend server next to the node.
-    pub service: String,
-    /// Slots of that backend server; 0 when it accepts no work.
-    pub slots: u32,
-    /// Bandwidth of the host's link, in Mbit/s; 0 when unknown.
-    #[serde(default)]
-    pub link_mbps: u32,
-    /// Latest incarnation of the backend server that was known to be leaving, or to have left, when
-    /// the registration was written.
-    #[serde(default)]
-    pub leaving: Option<TargetIncarnation>,
-    /// Era of the store in which the registration was written.
-    #[serde(default)]
-    pub store_era: StoreEra,
-}
-
-impl NodeRegistration {
-    /// Revision at which the registration was written, from its number. The store may have come back
-    /// from an older copy since, which has the registration of the era before.
-    pub fn written_at(&self, number: u64) -> StoreRevision {
-        let era = self.store_era;
-        StoreRevision { era, number }
-    }
-}
-
 /// A node's registration and its state in the store.
 #[derive(Clone, Debug)]
 struct DirectoryRecord {
--- a/crates/sequoiagw-mesh/src/follower_registrations.rs
+++ b/crates/sequoiagw-mesh/src/follower_registrations.rs
@@ -84,7 +84,7 @@
                 let registrations = nodes
                     .iter()
                     .filter_map(|entry| {
-                        let registration = parse_registration(entry)?;
+                        let registration = parse_registration(entry, revision.era)?;
                         let written_at = registration.written_at(entry.mod_revision);
                         Some((registration, written_at))
                     })
--- a/crates/sequoiagw-mesh/src/registration_change.rs
+++ b/crates/sequoiagw-mesh/src/registration_change.rs
@@ -24,21 +24,23 @@
 
 impl RegistrationChange {
     /// Converts a change of a key in the store, of which the store told in `era`; `None` if the key
-    /// holds no valid registration.
+    /// isn't that of a node.
+    ///
+    /// An entry that isn't a registration has taken the place of the node's, which is gone.
     pub fn from_key(change: &KeyChange, era: StoreEra) -> Option<Self> {
-        match change {
+        let (key, number) = match change {
             KeyChange::Written(entry) => {
-                let registration = parse_registration(entry)?;
-                let revision = registration.written_at(entry.mod_revision);
-                Some(Self::Written(registration, revision))
+                if let Some(registration) = parse_registration(entry, era) {
+                    let revision = registration.written_at(entry.mod_revision);
+                    return Some(Self::Written(registration, revision));
+                }
+                (&entry.key, entry.mod_revision)
             }
-            KeyChange::Deleted { key, revision } => {
-                let name = key.strip_prefix(NODES_PREFIX)?;
-                let number = *revision;
-                let revision = StoreRevision { era, number };
-                Some(Self::Removed(NodeId::from_name(name), revision))
-            }
-        }
+            KeyChange::Deleted { key, revision } => (key, *revision),
+        };
+        let name = key.strip_prefix(NODES_PREFIX)?;
+        let revision = StoreRevision { era, number };
+        Some(Self::Removed(NodeId::from_name(name), revision))
     }
 
     /// Converts a record from a peer.
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -9,6 +9,7 @@
 use sequoiagw_store::KeyEntry;
 use sequoiagw_store::PollRequest;
 use sequoiagw_store::PollingStore;
+use sequoiagw_store::StoreEra;
 use sequoiagw_store::StoreError;
 use sequoiagw_store::StoreReply;
 use sequoiagw_store::StoreRequest;
@@ -196,14 +197,13 @@
     }
 }
 
-/// Parses a node's registration. One that is malformed or belongs to another name is logged and
-/// skipped.
-pub(crate) fn parse_registration(entry: &KeyEntry) -> Option<NodeRegistration> {
-    let name = entry.key.strip_prefix(NODES_PREFIX)?;
-    match serde_json::from_str::<NodeRegistration>(&entry.value) {
-        Ok(registration) if registration.name == name => Some(registration),
-        _ => {
-            warn!(event = "node_entry_unreadable", key = %entry.key);
+/// Decodes a node's registration, of which the store told in `era`. An entry of another writer is
+/// logged and skipped.
+pub(crate) fn parse_registration(entry: &KeyEntry, era: StoreEra) -> Option<NodeRegistration> {
+    match NodeRegistration::from_entry(entry, era) {
+        Ok(registration) => Some(registration),
+        Err(error) => {
+            warn!(event = "node_entry_unreadable", key = %entry.key, error = %error);
             None
         }
     }
--- a/crates/sequoiagw-mesh/tests/fleet/fleet_node.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/fleet_node.rs
@@ -85,7 +85,7 @@
     for name in registered {
         let registration = registration(name, FIRST_BOOT);
         let value = serde_json::to_string(&registration).expect("a registration is JSON");
-        store.put(&format!("{NODES_PREFIX}{name}"), value);
+        store.put_leased(&format!("{NODES_PREFIX}{name}"), value);
     }
     store
 }
--- a/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
@@ -39,8 +39,6 @@
 pub struct StoreContent {
     revision: u64,
     entries: BTreeMap<String, KeyEntry>,
-    /// Lease of each key that has one.
-    attached_leases: BTreeMap<String, LeaseId>,
     changes: Vec<(u64, KeyChange)>,
     /// Time left and time to live of each lease.
     leases: BTreeMap<LeaseId, (Duration, Duration)>,
@@ -55,11 +53,8 @@
             value,
             create_revision: self.revision,
             mod_revision: self.revision,
+            lease,
         };
-        self.attached_leases.remove(key);
-        if let Some(lease) = lease {
-            self.attached_leases.insert(key.to_owned(), lease);
-        }
         self.entries.insert(key.to_owned(), entry.clone());
         let change = KeyChange::Written(entry);
         self.changes.push((self.revision, change));
@@ -67,16 +62,13 @@
 
     fn end_lease(&mut self, lease: LeaseId) {
         self.leases.remove(&lease);
-        let attached = self.attached_leases.iter();
-        let keys: Vec<String> = attached
-            .filter(|(_, attached)| **attached == lease)
-            .map(|(key, _)| key.clone())
-            .collect();
+        let entries = self.entries.values();
+        let attached = entries.filter(|entry| entry.lease == Some(lease));
+        let keys: Vec<String> = attached.map(|entry| entry.key.clone()).collect();
         for key in keys {
             self.revision += 1;
             let revision = self.revision;
             self.entries.remove(&key);
-            self.attached_leases.remove(&key);
             self.changes
                 .push((revision, KeyChange::Deleted { key, revision }));
         }
@@ -199,6 +191,18 @@
         self.changed.send_replace(());
     }
 
+    /// Writes a key under a lease of an hour.
+    pub fn put_leased(&self, key: &str, value: String) {
+        let mut content = self.content.borrow_mut();
+        content.last_lease += 1;
+        let lease = LeaseId(content.last_lease);
+        let ttl = Duration::from_secs(3600);
+        content.leases.insert(lease, (ttl, ttl));
+        content.put(key, value, Some(lease));
+        drop(content);
+        self.changed.send_replace(());
+    }
+
     /// Value of a key, `None` if it doesn't exist.
     pub fn value(&self, key: &str) -> Option<String> {
         let content = self.content.borrow();
--- a/crates/sequoiagw-mesh/tests/fleet/main.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/main.rs
@@ -4,6 +4,7 @@
 mod direct_links;
 mod fleet_node;
 mod fleet_store;
+mod foreign_entries;
 mod lost_watchers;
 #[path = "../number_format/mod.rs"]
 mod number_format;
--- a/crates/sequoiagw-mesh/tests/store_follower.rs
+++ b/crates/sequoiagw-mesh/tests/store_follower.rs
@@ -32,6 +32,7 @@
 use sequoiagw_store::ChangeBatch;
 use sequoiagw_store::EraAnswer;
 use sequoiagw_store::KeyEntry;
+use sequoiagw_store::LeaseId;
 use sequoiagw_store::PollFuture;
 use sequoiagw_store::PollRequest;
 use sequoiagw_store::PollingStore;
@@ -87,6 +88,7 @@
         value,
         create_revision: 5,
         mod_revision: 5,
+        lease: Some(LeaseId(1)),
     }
 }
 
--- a/crates/sequoiagw-standin/src/store_server.rs
+++ b/crates/sequoiagw-standin/src/store_server.rs
@@ -293,6 +293,9 @@
         value: encode_base64(&entry.value),
         create_revision: entry.create_revision.to_string(),
         mod_revision: entry.mod_revision.to_string(),
+        lease: entry
+            .lease
+            .map_or_else(String::new, |lease| lease.to_string()),
     }
 }
 
--- a/crates/sequoiagw-standin/src/store_state.rs
+++ b/crates/sequoiagw-standin/src/store_state.rs
@@ -298,5 +298,6 @@
         value: stored.value.clone(),
         create_revision: stored.create_revision,
         mod_revision: stored.mod_revision,
+        lease: stored.lease,
     }
 }
--- a/crates/sequoiagw-store/src/etcd_store.rs
+++ b/crates/sequoiagw-store/src/etcd_store.rs
@@ -400,11 +400,16 @@
 }
 
 fn decode_entry(pair: &GatewayKeyValue) -> Result<KeyEntry, StoreError> {
+    let lease = match pair.lease.as_str() {
+        "" => None,
+        number => LeaseId::from_number(parse_u64(number)?),
+    };
     Ok(KeyEntry {
         key: decode_base64(&pair.key)?,
         value: decode_base64(&pair.value)?,
         create_revision: parse_u64(&pair.create_revision)?,
         mod_revision: parse_u64(&pair.mod_revision)?,
+        lease,
     })
 }
 
--- a/crates/sequoiagw-store/src/gateway_json.rs
+++ b/crates/sequoiagw-store/src/gateway_json.rs
@@ -57,6 +57,9 @@
     pub create_revision: String,
     /// Revision of the last change to the key.
     pub mod_revision: String,
+    /// Lease that the key is attached to; empty or 0 for none.
+    #[serde(skip_serializing_if = "String::is_empty")]
+    pub lease: String,
 }
 
 /// Body of `/v3/kv/range`. Also selects the key to read or delete in a transaction.
--- a/crates/sequoiagw-store/src/store_request.rs
+++ b/crates/sequoiagw-store/src/store_request.rs
@@ -23,6 +23,15 @@
     pub create_revision: u64,
     /// Revision of the last change to the key.
     pub mod_revision: u64,
+    /// Lease that the key is attached to; `None` for a key that stays until it is deleted.
+    pub lease: Option<LeaseId>,
+}
+
+impl LeaseId {
+    /// Lease from the number that the store gives, which is 0 if there is none.
+    pub fn from_number(number: u64) -> Option<Self> {
+        (number != 0).then_some(Self(number))
+    }
 }
 
 /// Condition under which a commit is applied.
