Refuse a heartbeat with more slots than any backend server has

Another writer's check-in may name 4,294,967,295 slots. They were offered to the fleet, and the limit of the queue, twenty times that, overflowed: a panic in debug builds, 4,294,967,276 places in release builds. Such a heartbeat now counts as foreign, like one without slots. heartbeat_with_more_slots_than_any_backend_server_has_is_not_used failed before (accepted).

--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -6,6 +6,8 @@
 use serde::Serialize;
 use tokio::time::Instant;
 
+use crate::node_registration::MAX_BACKEND_SLOTS;
+
 /// Heartbeat intervals without a heartbeat after which a backend server counts as gone.
 const HEARTBEAT_TIMEOUT_INTERVALS: u32 = 4;
 
@@ -67,8 +69,8 @@
     Accepted,
     /// The heartbeat is older than one already received from this or a later incarnation.
     Stale,
-    /// The heartbeat names another service or address than this node's backend server, or no
-    /// slots.
+    /// The heartbeat names another service or address than this node's backend server, no slots, or
+    /// more than any backend server has.
     Foreign,
 }
 
@@ -115,7 +117,7 @@
     pub fn on_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) -> HeartbeatOutcome {
         if heartbeat.service != self.service
             || heartbeat.address != self.address
-            || heartbeat.slots == 0
+            || !(1..=MAX_BACKEND_SLOTS).contains(&heartbeat.slots)
         {
             return HeartbeatOutcome::Foreign;
         }
--- a/crates/sequoiagw-mesh/tests/target_monitor.rs
+++ b/crates/sequoiagw-mesh/tests/target_monitor.rs
@@ -77,6 +77,16 @@
     assert!(monitor.serving(now).is_none());
 }
 
+#[test]
+fn heartbeat_with_more_slots_than_any_backend_server_has_is_not_used() {
+    let now = Instant::now();
+    let mut monitor = new_monitor();
+    let mut odd = heartbeat("a", 10, 1, HeartbeatPhase::Ready);
+    odd.slots = u32::MAX;
+    assert_eq!(monitor.on_heartbeat(&odd, now), HeartbeatOutcome::Foreign);
+    assert!(monitor.serving(now).is_none());
+}
+
 #[test]
 fn ignores_heartbeat_for_other_service_or_address() {
     let now = Instant::now();
