Don't send a refused request again on the connection that carried its refusal

A refusal counts only if it names the request, which keeps apart different requests. But a call that every target has refused is offered to them once more, under the same id, and the pool may choose the same connection: there the old refusal names the right request.

A connection that has carried a refusal is closed.

refusal_written_once_more_is_not_taken_for_the_answer_to_the_same_request_sent_again failed before (Shed for a request that ran), for 503 with the header and for 421.

--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -121,9 +121,13 @@
             .await;
         match result {
             Ok(response) => {
-                self.return_to_pool(connection);
                 self.report_notice(&response, instance);
-                self.read_response(response)
+                let result = self.read_response(response);
+                // A refusal may be written once more when its request is sent again.
+                if !matches!(result, BackendResult::Shed | BackendResult::Refused) {
+                    self.return_to_pool(connection);
+                }
+                result
             }
             Err(error) => {
                 info!(target: REQUEST_LOG_TARGET, event = "run_failed", request = %dispatch.request_id, error = %error);
--- a/crates/sequoiagw-mesh/tests/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_backend.rs
@@ -66,6 +66,44 @@
     address
 }
 
+/// Starts a server that refuses the first request of its first connection, and answers the second one
+/// on it with the same refusal before it runs that. On other connections it runs all requests. The
+/// receiver gets a message for each run.
+async fn start_refusing_server(refusal: &'static str) -> (SocketAddr, UnboundedReceiver<()>) {
+    const ANSWER: &str =
+        "HTTP/1.1 200 OK\r\nId: call-1\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok";
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    let (run_sender, runs) = mpsc::unbounded_channel();
+    tokio::task::spawn_local(async move {
+        let mut is_first = true;
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let run_sender = run_sender.clone();
+            let refuses = std::mem::replace(&mut is_first, false);
+            tokio::task::spawn_local(async move {
+                let mut part = [0; 2048];
+                for number in 0.. {
+                    if stream.read(&mut part).await.is_ok_and(|read| read == 0) {
+                        return;
+                    }
+                    let mut answer = String::new();
+                    if refuses {
+                        answer.push_str(refusal);
+                    }
+                    if !refuses || number > 0 {
+                        answer.push_str(ANSWER);
+                        let _ = run_sender.send(());
+                    }
+                    if stream.write_all(answer.as_bytes()).await.is_err() {
+                        return;
+                    }
+                }
+            });
+        }
+    });
+    (address, runs)
+}
+
 /// Starts a server that answers the call 1 with a byte of its body each second, without end, and all
 /// others at once. The receiver resolves when the connection of the call 1 has been closed.
 async fn start_trickling_server() -> (SocketAddr, oneshot::Receiver<()>) {
@@ -158,6 +196,34 @@
         .await;
 }
 
+#[tokio::test]
+async fn refusal_written_once_more_is_not_taken_for_the_answer_to_the_same_request_sent_again() {
+    const REFUSALS: [&str; 2] = [
+        "HTTP/1.1 503 Busy\r\nId: call-1\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 421 Other\r\nId: call-1\r\nContent-Length: 0\r\n\r\n",
+    ];
+    LocalSet::new()
+        .run_until(async {
+            for refusal in REFUSALS {
+                let (sender, mut events) = mpsc::unbounded_channel();
+                let (address, mut runs) = start_refusing_server(refusal).await;
+                let backend = MeshBackend::new(address, HEADERS, sender);
+                let first = run(&backend, &mut events, 1).await;
+                assert!(
+                    matches!(first, BackendResult::Shed | BackendResult::Refused),
+                    "{first:?}"
+                );
+                let second = run(&backend, &mut events, 1).await;
+                runs.recv().await.expect("the second request ran");
+                assert!(
+                    matches!(second, BackendResult::Answered { .. }),
+                    "{second:?}"
+                );
+            }
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn a_trickle_of_bytes_ends_with_its_run_and_harms_no_other() {
     LocalSet::new()
