Believe a refusal at the project's own interface only for its own request

The same fault at the project's own interface: a refusal with Sequoiagw-Not-Run on a kept connection was taken for the answer to whatever request had been sent last, so a late copy of an earlier refusal said "not run" of a request that ran.

A refusal that names another request is not believed, and one that names none only as the first response on a connection; the outcome is unknown then.

--- a/crates/sequoiagw-node/src/backend_client.rs
+++ b/crates/sequoiagw-node/src/backend_client.rs
@@ -58,6 +58,13 @@
     idle_since: Instant,
 }
 
+/// Whether a connection has carried requests before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum ConnectionUse {
+    First,
+    Reused,
+}
+
 /// State shared by all runs.
 #[derive(Default)]
 struct BackendState {
@@ -119,7 +126,7 @@
     address: &str,
     dispatch: &CallDispatch,
 ) -> BackendResult {
-    let Some(mut sender) = take_connection(state, address).await else {
+    let Some((mut sender, connection_use)) = take_connection(state, address).await else {
         return BackendResult::Refused;
     };
     let Ok(request) = request_builder(address, dispatch).body(Full::new(dispatch.body.clone()))
@@ -129,6 +136,11 @@
     let Ok(response) = sender.send_request(request).await else {
         return BackendResult::Broken;
     };
+    if is_refusal(&response) {
+        // The connection isn't used again: the refusal may be written once more when its request is
+        // sent again.
+        return read_refusal(&response, &dispatch.request_id, connection_use);
+    }
     let result = read_answer(response).await;
     return_connection(state, address, sender);
     result
@@ -140,7 +152,7 @@
 async fn take_connection(
     state: &Rc<RefCell<BackendState>>,
     address: &str,
-) -> Option<BackendSender> {
+) -> Option<(BackendSender, ConnectionUse)> {
     loop {
         let idle = state.borrow_mut().idle.pop();
         let Some(idle) = idle else {
@@ -148,7 +160,7 @@
         };
         let usable = idle.address == address && idle.idle_since.elapsed() < IDLE_TIMEOUT;
         if usable && idle.sender.is_ready() {
-            return Some(idle.sender);
+            return Some((idle.sender, ConnectionUse::Reused));
         }
     }
     let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(address))
@@ -159,7 +171,7 @@
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
     tokio::task::spawn_local(connection);
     sender.ready().await.ok()?;
-    Some(sender)
+    Some((sender, ConnectionUse::First))
 }
 
 fn return_connection(state: &Rc<RefCell<BackendState>>, address: &str, sender: BackendSender) {
@@ -188,11 +200,28 @@
     builder
 }
 
+fn is_refusal(response: &Response<Incoming>) -> bool {
+    response.status().as_u16() == STATUS_UNAVAILABLE
+        && response.headers().contains_key(NOT_RUN_HEADER)
+}
+
+/// Result of a refusal. One that names no request is that of the only request sent on a new
+/// connection; on a reused one it may be a late copy, and this request may have run.
+fn read_refusal(
+    response: &Response<Incoming>,
+    request_id: &str,
+    connection_use: ConnectionUse,
+) -> BackendResult {
+    let named = response.headers().get(REQUEST_ID_HEADER);
+    match (named, connection_use) {
+        (Some(named), _) if named.as_bytes() == request_id.as_bytes() => BackendResult::Shed,
+        (None, ConnectionUse::First) => BackendResult::Shed,
+        _ => BackendResult::Truncated,
+    }
+}
+
 async fn read_answer(response: Response<Incoming>) -> BackendResult {
     let status = response.status().as_u16();
-    if status == STATUS_UNAVAILABLE && response.headers().contains_key(NOT_RUN_HEADER) {
-        return BackendResult::Shed;
-    }
     let pairs = response
         .headers()
         .iter()
--- a/crates/sequoiagw-standin/src/backend_http.rs
+++ b/crates/sequoiagw-standin/src/backend_http.rs
@@ -7,6 +7,7 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::Request;
@@ -79,7 +80,11 @@
         value.unwrap_or("").to_owned()
     };
     let (key, request_id) = (header(IDEMPOTENCY_KEY_HEADER), header(REQUEST_ID_HEADER));
-    let id = if key.is_empty() { request_id } else { key };
+    let id = if key.is_empty() {
+        request_id.clone()
+    } else {
+        key
+    };
     let path = request.uri().path().to_owned();
     let _ = request.into_body().collect().await;
     match model.serve(&id, &path).await {
@@ -87,8 +92,11 @@
         ModelAnswer::Shed => {
             let mut response = Response::new(Full::new(Bytes::new()));
             *response.status_mut() = hyper::StatusCode::SERVICE_UNAVAILABLE;
-            let not_run = hyper::header::HeaderValue::from_static("true");
+            let not_run = HeaderValue::from_static("true");
             response.headers_mut().insert(NOT_RUN_HEADER, not_run);
+            if let Ok(request_id) = HeaderValue::from_str(&request_id) {
+                response.headers_mut().insert(REQUEST_ID_HEADER, request_id);
+            }
             Ok(response)
         }
         ModelAnswer::Broken => Err(SimulatedConnectionError),
