Test that an answer cut short in its head or body is never taken for whole

From the reports of other operators: a target stopped in the middle of its answer's head and closed, and callers got a 200 with an empty body, framed as whole. It can't happen here: an answer cut at any byte, with a length, in chunks, without a length or after an interim response, ends as broken or truncated, at both interfaces.

--- a/crates/sequoiagw-mesh/tests/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_backend.rs
@@ -224,6 +224,54 @@
         .await;
 }
 
+/// Starts a server that sends the next of these texts on each connection and closes it.
+async fn start_closing_server(texts: Vec<String>) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        for text in texts {
+            let Ok((mut stream, _)) = listener.accept().await else {
+                return;
+            };
+            let mut part = [0; 2048];
+            let _ = stream.read(&mut part).await;
+            let _ = stream.write_all(text.as_bytes()).await;
+        }
+    });
+    address
+}
+
+/// Every part of a text that begins with it and ends before `end`.
+fn beginnings(text: &str, end: usize) -> Vec<String> {
+    (0..end).map(|length| text[..length].to_owned()).collect()
+}
+
+#[tokio::test]
+async fn answer_that_stops_in_its_head_or_body_is_not_taken_for_whole() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nId: call-1\r\nSignature: s\r\n";
+    let sized = format!("{HEAD}Content-Length: 2\r\n\r\nok");
+    let chunked = format!("{HEAD}Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n");
+    let unframed = format!("{HEAD}Connection: close\r\n\r\n");
+    let after_interim = format!("HTTP/1.1 100 Continue\r\n\r\n{unframed}");
+    LocalSet::new()
+        .run_until(async {
+            for text in [&sized, &chunked, &unframed, &after_interim] {
+                let parts = beginnings(text, text.len());
+                let address = start_closing_server(parts.clone()).await;
+                for part in parts {
+                    let (sender, mut events) = mpsc::unbounded_channel();
+                    let backend = MeshBackend::new(address, HEADERS, sender);
+                    let result = run(&backend, &mut events, 1).await;
+                    assert!(
+                        matches!(result, BackendResult::Broken | BackendResult::Truncated),
+                        "{part:?}: {result:?}"
+                    );
+                }
+            }
+        })
+        .await;
+}
+
 #[tokio::test]
 async fn a_trickle_of_bytes_ends_with_its_run_and_harms_no_other() {
     LocalSet::new()
--- a/crates/sequoiagw-node/tests/backend_client.rs
+++ b/crates/sequoiagw-node/tests/backend_client.rs
@@ -48,6 +48,20 @@
     address
 }
 
+/// Starts a server that sends a text on its first connection and closes it.
+async fn start_closing_server(text: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        if let Ok((mut stream, _)) = listener.accept().await {
+            let mut part = [0; 2048];
+            let _ = stream.read(&mut part).await;
+            let _ = stream.write_all(text.as_bytes()).await;
+        }
+    });
+    address
+}
+
 async fn run(
     backend: &HttpBackend,
     address: SocketAddr,
@@ -129,3 +143,25 @@
         })
         .await;
 }
+
+#[tokio::test]
+async fn answer_that_stops_in_its_head_or_body_is_not_taken_for_whole() {
+    const UNFRAMED: &str = "HTTP/1.1 200 OK\r\nX-Kind: unframed\r\nConnection: close\r\n\r\n";
+    LocalSet::new()
+        .run_until(async {
+            for text in [ANSWER, UNFRAMED] {
+                for length in 0..text.len() {
+                    let (sender, mut events) = mpsc::unbounded_channel();
+                    let backend = HttpBackend::new(sender);
+                    let address = start_closing_server(&text[..length]).await;
+                    let result = run(&backend, address, &mut events).await;
+                    assert!(
+                        matches!(result, BackendResult::Broken | BackendResult::Truncated),
+                        "{:?}: {result:?}",
+                        &text[..length]
+                    );
+                }
+            }
+        })
+        .await;
+}
