Keep the callers that wait for replies, and undelivered messages, in one place for both handles

Both handles had the same table of waiting callers with a guard that cancels a dropped call, and both cores the same treatment of messages of calls that were never written. ReplyTable and CallMachines have them now. At the project's own interface an idempotent call whose query couldn't be delivered is now retried at once, as on the users' platform.

--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -60,18 +60,8 @@
     pub fn on_undelivered(&mut self, address: NodeAddress, frames: &[PeerFrame], now: Instant) {
         self.counters.count("link.refused");
         for node in self.directory.nodes_at(address) {
-            for frame in frames {
-                match &frame.body {
-                    Some(FrameBody::Dispatch(dispatch)) => {
-                        self.calls
-                            .entry
-                            .on_dispatch_undelivered(dispatch.call, node, now);
-                    }
-                    Some(FrameBody::Query(query)) => {
-                        self.calls.entry.on_query_undelivered(query.call, node, now);
-                    }
-                    _ => {}
-                }
+            for body in frames.iter().filter_map(|frame| frame.body.as_ref()) {
+                self.calls.on_undelivered(node, body, now);
             }
         }
         self.process_actions(now);
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -1,19 +1,18 @@
 //! Handle of a running node on the current thread's runtime.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::rc::Rc;
 
+use sequoiagw_node::wait_for_reply;
 use sequoiagw_node::CoreEvent;
 use sequoiagw_node::NodeCounters;
 use sequoiagw_node::PeerLinks;
+use sequoiagw_node::ReplyTable;
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
 use sequoiagw_policy::CallerReply;
-use sequoiagw_protocol::ErrorKind;
 use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::oneshot;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
@@ -30,8 +29,7 @@
     core: MeshCore,
     links: Box<dyn PeerLinks>,
     backend: MeshBackend,
-    /// Senders of the replies to open calls, by call.
-    replies: HashMap<u64, oneshot::Sender<CallerReply>>,
+    replies: ReplyTable,
 }
 
 /// Handle of a running node; clones share the node.
@@ -47,22 +45,6 @@
     timer_changed: Rc<Notify>,
 }
 
-/// Cancels a call when the future that waits for its reply is dropped.
-struct CallGuard {
-    handle: MeshHandle,
-    call: Option<u64>,
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        if let Some(call) = self.call.take() {
-            self.handle.inner.borrow_mut().replies.remove(&call);
-            self.handle
-                .with_core(|core, now| core.cancel_call(call, now));
-        }
-    }
-}
-
 impl MeshHandle {
     /// Combines a core with its links, backend client and platform format. [`Self::run`] drives
     /// the node.
@@ -76,7 +58,7 @@
             core,
             links,
             backend,
-            replies: HashMap::new(),
+            replies: ReplyTable::default(),
         };
         Self {
             inner: Rc::new(RefCell::new(inner)),
@@ -125,22 +107,19 @@
     /// Makes a call and waits for its reply. Dropping the future cancels the call.
     pub async fn call(&self, spec: CallSpec, request: CallRequest) -> CallerReply {
         let level = spec.level;
-        let (sender, receiver) = oneshot::channel();
-        let call = {
+        let (call, receiver) = {
             let mut inner = self.inner.borrow_mut();
             let call = inner.core.begin_call(spec, request, Instant::now());
-            inner.replies.insert(call, sender);
-            call
+            (call, inner.replies.open(call))
         };
         self.run_actions();
         self.timer_changed.notify_one();
-        let mut guard = CallGuard {
-            handle: self.clone(),
-            call: Some(call),
-        };
-        let reply = receiver.await;
-        guard.call = None;
-        reply.unwrap_or_else(|_| CallerReply::from_error(ErrorKind::TargetLost, level))
+        wait_for_reply(receiver, level, || self.cancel(call)).await
+    }
+
+    fn cancel(&self, call: u64) {
+        self.inner.borrow_mut().replies.remove(call);
+        self.with_core(|core, now| core.cancel_call(call, now));
     }
 
     /// Reads from the core.
@@ -241,12 +220,7 @@
                 }
             }
             MeshAction::Abort(run) => inner.backend.abort(run),
-            MeshAction::Reply(call, reply) => {
-                if let Some(sender) = inner.replies.remove(&call) {
-                    // Sending fails if the caller has just stopped waiting.
-                    let _ = sender.send(reply);
-                }
-            }
+            MeshAction::Reply(call, reply) => inner.replies.resolve(call, reply),
             MeshAction::RegistrationChanged => self.registration_changed.notify_one(),
             MeshAction::WatchersLost => self.watchers_lost.notify_waiters(),
         }
--- a/crates/sequoiagw-node/src/call_machines.rs
+++ b/crates/sequoiagw-node/src/call_machines.rs
@@ -92,6 +92,17 @@
         self.entry.open_calls() + self.owner.open_calls()
     }
 
+    /// Handles a message of these state machines that was never written to a link.
+    pub fn on_undelivered(&mut self, node: NodeId, body: &FrameBody, now: Instant) {
+        match body {
+            FrameBody::Dispatch(dispatch) => {
+                self.entry.on_dispatch_undelivered(dispatch.call, node, now);
+            }
+            FrameBody::Query(query) => self.entry.on_query_undelivered(query.call, node, now),
+            _ => {}
+        }
+    }
+
     /// Handles a message of these state machines for a node without a known address. A dispatch
     /// counts as undelivered, and other messages are dropped.
     pub fn on_unaddressed(&mut self, node: NodeId, body: &FrameBody, now: Instant) {
--- a/crates/sequoiagw-node/src/core_messages.rs
+++ b/crates/sequoiagw-node/src/core_messages.rs
@@ -92,19 +92,12 @@
     ) {
         self.counters.count("link.refused");
         for node in self.nodes_at(address) {
-            for frame in frames {
-                match &frame.body {
-                    Some(FrameBody::Dispatch(dispatch)) => {
-                        self.calls
-                            .entry
-                            .on_dispatch_undelivered(dispatch.call, node, now);
+            for body in frames.iter().filter_map(|frame| frame.body.as_ref()) {
+                self.calls.on_undelivered(node, body, now);
+                if let FrameBody::Claim(request) = body {
+                    for claim in &request.claims {
+                        self.calls.owner.on_claim(&claim.key, None, now);
                     }
-                    Some(FrameBody::Claim(request)) => {
-                        for claim in &request.claims {
-                            self.calls.owner.on_claim(&claim.key, None, now);
-                        }
-                    }
-                    _ => {}
                 }
             }
         }
--- a/crates/sequoiagw-node/src/node_handle.rs
+++ b/crates/sequoiagw-node/src/node_handle.rs
@@ -9,19 +9,18 @@
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
 use sequoiagw_policy::CallerReply;
-use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FleetReport;
 use sequoiagw_store::PlatformStore;
 use sequoiagw_store::StoreRequest;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::mpsc::UnboundedSender;
-use tokio::sync::oneshot;
 use tokio::sync::watch;
 use tokio::task::AbortHandle;
 use tokio::time::timeout_at;
 use tokio::time::Instant;
 
+use crate::reply_table::wait_for_reply;
 use crate::BackendAnnouncement;
 use crate::CoreAction;
 use crate::CoreEvent;
@@ -32,6 +31,7 @@
 use crate::NodeDependencies;
 use crate::NodeIdentity;
 use crate::NodeStatus;
+use crate::ReplyTable;
 use crate::StoreTag;
 
 /// Time that a fleet query waits for the collectors' reports.
@@ -48,7 +48,7 @@
 struct NodeInner {
     core: NodeCore,
     dependencies: NodeDependencies,
-    reply_senders: HashMap<u64, oneshot::Sender<CallerReply>>,
+    replies: ReplyTable,
     events: EventSender,
     watch_task: Option<AbortHandle>,
     report_senders: HashMap<u64, UnboundedSender<FleetReport>>,
@@ -63,20 +63,6 @@
     inner: Rc<RefCell<NodeInner>>,
 }
 
-/// Cancels a call when it is dropped before the reply, because the caller no longer waits.
-struct CallGuard {
-    handle: NodeHandle,
-    call: Option<u64>,
-}
-
-impl Drop for CallGuard {
-    fn drop(&mut self) {
-        if let Some(call) = self.call.take() {
-            self.handle.cancel(call);
-        }
-    }
-}
-
 impl NodeHandle {
     /// Creates a node. It makes progress only while the future returned by [`Self::run`] is polled.
     pub fn new(
@@ -90,7 +76,7 @@
         let inner = NodeInner {
             core,
             dependencies,
-            reply_senders: HashMap::new(),
+            replies: ReplyTable::default(),
             events,
             watch_task: None,
             report_senders: HashMap::new(),
@@ -126,21 +112,13 @@
     /// Makes a call and returns its reply. Dropping the future cancels the call.
     pub async fn call(&self, spec: CallSpec, request: CallRequest) -> CallerReply {
         let level = spec.level;
-        let (sender, receiver) = oneshot::channel();
-        let call = {
+        let (call, receiver) = {
             let mut inner = self.inner.borrow_mut();
             let call = inner.core.begin_call(spec, request, Instant::now());
-            inner.reply_senders.insert(call, sender);
-            call
+            (call, inner.replies.open(call))
         };
         self.execute_actions();
-        let mut guard = CallGuard {
-            handle: self.clone(),
-            call: Some(call),
-        };
-        let reply = receiver.await;
-        guard.call = None;
-        reply.unwrap_or_else(|_| CallerReply::from_error(ErrorKind::TargetLost, level))
+        wait_for_reply(receiver, level, || self.cancel(call)).await
     }
 
     /// Announces the backend server. The announcement expires after 5 seconds, so it should be
@@ -233,7 +211,7 @@
     }
 
     fn cancel(&self, call: u64) {
-        self.inner.borrow_mut().reply_senders.remove(&call);
+        self.inner.borrow_mut().replies.remove(call);
         self.with_core(|core, now| core.cancel_call(call, now));
     }
 
@@ -274,11 +252,7 @@
             CoreAction::Store(tag, request) => inner.call_store(tag, request),
             CoreAction::Watch(revision) => inner.start_watch(revision),
             CoreAction::Unwatch => inner.stop_watch(),
-            CoreAction::Reply(call, reply) => {
-                if let Some(sender) = inner.reply_senders.remove(&call) {
-                    let _ = sender.send(reply);
-                }
-            }
+            CoreAction::Reply(call, reply) => inner.replies.resolve(call, reply),
             CoreAction::Report(report) => {
                 if let Some(sender) = inner.report_senders.get(&report.query_id) {
                     let _ = sender.send(report);
