Hold what callers get in soak runs against what the backend servers gave

The stricter accounting that was missing: in calm times and in planned maintenance an answer that a backend server has given in time reaches its caller, a failure that isn't a refusal was offered to a backend server, a refusal comes before three quarters of the caller's time are over; and runs beyond the first of each request stay within the budget for retries. Tests show that each check finds its violation.

--- a/crates/sequoiagw-soak/src/caller_load.rs
+++ b/crates/sequoiagw-soak/src/caller_load.rs
@@ -22,7 +22,7 @@
 const MIN_CALL_INTERVAL_MS: u64 = 10;
 const MAX_CALL_INTERVAL_MS: u64 = 80;
 /// Time that a caller waits for an answer, as sent to the node.
-const CALL_DEADLINE: Duration = Duration::from_secs(2);
+pub(crate) const CALL_DEADLINE: Duration = Duration::from_secs(2);
 /// Time past the deadline after which a call without an outcome counts as stuck.
 const RESPONSE_GRACE: Duration = Duration::from_secs(2);
 /// Time for which the effects of a fault may last after its end.
--- a/crates/sequoiagw-soak/src/guarantee_checker.rs
+++ b/crates/sequoiagw-soak/src/guarantee_checker.rs
@@ -32,6 +32,14 @@
     Behind,
     /// A process that wasn't told to stop keeps running.
     Ended,
+    /// An answer that a backend server has given in time reaches its caller.
+    LostAnswer,
+    /// A request that fails without being refused was offered to a backend server.
+    UntriedFailure,
+    /// A refusal comes while its caller has time to return.
+    HeldRefusal,
+    /// Requests run again no more often than the budget for retries allows.
+    ExcessRetries,
 }
 
 /// All guarantees, with their names in the report.
@@ -46,6 +54,10 @@
     (GuaranteeKind::Stuck, "stuck"),
     (GuaranteeKind::Behind, "behind"),
     (GuaranteeKind::Ended, "ended"),
+    (GuaranteeKind::LostAnswer, "lost_answers"),
+    (GuaranteeKind::UntriedFailure, "untried_failures"),
+    (GuaranteeKind::HeldRefusal, "held_refusals"),
+    (GuaranteeKind::ExcessRetries, "excess_retries"),
 ];
 
 /// A violation of a guarantee.
@@ -106,6 +118,11 @@
 /// HTTP statuses that guarantee that a request has not run and never will.
 const NOT_RUN_STATUSES: [u16; 4] = [408, 421, 429, 503];
 
+/// Whether a status guarantees that a request has not run and never will.
+pub(crate) fn is_not_run_status(status: u16) -> bool {
+    NOT_RUN_STATUSES.contains(&status)
+}
+
 /// Collects observations and the violations found in them.
 #[derive(Debug, Default)]
 pub struct GuaranteeChecker {
@@ -171,7 +188,7 @@
             if count > 1 {
                 new_violations.push((GuaranteeKind::DoubleRun, call.id.clone(), count));
             }
-            let refused = matches!(call.outcome, CallerOutcome::Answered { status, .. } if NOT_RUN_STATUSES.contains(&status));
+            let refused = matches!(call.outcome, CallerOutcome::Answered { status, .. } if is_not_run_status(status));
             if refused && count > 0 {
                 new_violations.push((GuaranteeKind::FalseNotRun, call.id.clone(), count));
             }
@@ -228,9 +245,7 @@
         for call in &self.calls {
             let name = match &call.outcome {
                 CallerOutcome::Answered { status: 200, .. } => "served",
-                CallerOutcome::Answered { status, .. } if NOT_RUN_STATUSES.contains(status) => {
-                    "refused"
-                }
+                CallerOutcome::Answered { status, .. } if is_not_run_status(*status) => "refused",
                 CallerOutcome::Answered { .. }
                 | CallerOutcome::ConnectionClosed
                 | CallerOutcome::TimedOut => "unknown",
@@ -241,6 +256,11 @@
         counts
     }
 
+    /// All recorded calls.
+    pub(crate) fn calls(&self) -> &[CallRecord] {
+        &self.calls
+    }
+
     /// Number of recorded calls.
     pub fn len(&self) -> usize {
         self.calls.len()
--- a/crates/sequoiagw-soak/src/lib.rs
+++ b/crates/sequoiagw-soak/src/lib.rs
@@ -1,6 +1,7 @@
 //! Randomized soak test: runs real node processes under injected faults, and checks the system's
 //! guarantees from what callers and backend servers observe.
 
+mod call_accounting;
 mod caller_load;
 mod fault_injection;
 mod fault_plan;
--- a/crates/sequoiagw-soak/src/soak_run.rs
+++ b/crates/sequoiagw-soak/src/soak_run.rs
@@ -16,6 +16,7 @@
 use crate::caller_load::has_version;
 use crate::caller_load::run_caller;
 use crate::caller_load::LoadContext;
+use crate::caller_load::CALL_DEADLINE;
 use crate::fault_injection::inject_faults;
 use crate::fault_injection::restore_store;
 use crate::fault_plan::FaultPlan;
@@ -130,7 +131,12 @@
         .iter()
         .flat_map(|node| node.backend.all_runs())
         .collect();
-    context.checker.borrow_mut().check_runs(&runs);
+    {
+        let mut checker = context.checker.borrow_mut();
+        checker.check_runs(&runs);
+        checker.check_service(&runs, CALL_DEADLINE);
+        checker.check_retries(&runs);
+    }
     let limited_runs = context.fleet.nodes[limit.node].backend.all_runs();
     context
         .checker
--- a/crates/sequoiagw-soak/tests/guarantees.rs
+++ b/crates/sequoiagw-soak/tests/guarantees.rs
@@ -41,6 +41,7 @@
         id: (*id).to_owned(),
         at: Instant::now(),
         incarnation: 1,
+        answered_at: None,
     };
     ids.iter().map(run).collect()
 }
@@ -160,6 +161,7 @@
         id: format!("{incarnation}-{index}"),
         at: from + Duration::from_secs(1) / per_s as u32 * index,
         incarnation,
+        answered_at: None,
     };
     (0..(per_s * seconds) as u32).map(run).collect()
 }
@@ -189,3 +191,72 @@
     restarted.extend(steady_runs(later, 10, 3, 2));
     assert!(violations_of(&restarted).is_empty());
 }
+
+/// Time that callers wait, in the tests of what they get.
+const DEADLINE: Duration = Duration::from_secs(2);
+
+/// Violations of a call that ends with `status` after `time_taken`, with a run that is answered
+/// after `run_time`, if it is.
+fn service_violations(
+    status: u16,
+    time_taken: Duration,
+    run_time: Option<Duration>,
+    during_fault: bool,
+) -> Vec<GuaranteeKind> {
+    let mut call = record("a", answer(status, "a"), during_fault);
+    call.ended_at = call.started_at + time_taken;
+    let runs = run_time.map(|run_time| BackendRun {
+        id: "a".to_owned(),
+        at: call.started_at,
+        incarnation: 1,
+        answered_at: Some(call.started_at + run_time),
+    });
+    let runs: Vec<BackendRun> = runs.into_iter().collect();
+    let mut checker = GuaranteeChecker::default();
+    checker.record_call(call);
+    checker.check_service(&runs, DEADLINE);
+    violation_kinds(&checker)
+}
+
+#[test]
+fn reports_lost_answers_untried_failures_and_late_refusals_of_calm_times() {
+    let soon = Duration::from_millis(100);
+    let late = Duration::from_millis(1600);
+    let lost = [GuaranteeKind::LostAnswer];
+    assert_eq!(service_violations(504, DEADLINE, Some(soon), false), lost);
+    assert_eq!(service_violations(502, soon, Some(soon), false), lost);
+    assert_eq!(service_violations(504, DEADLINE, Some(late), false), []);
+    assert_eq!(service_violations(504, DEADLINE, Some(soon), true), []);
+    let untried = [GuaranteeKind::UntriedFailure];
+    assert_eq!(service_violations(502, soon, None, false), untried);
+    assert_eq!(service_violations(502, soon, None, true), []);
+    let held = [GuaranteeKind::HeldRefusal];
+    assert_eq!(service_violations(503, late, None, false), held);
+    assert_eq!(service_violations(503, soon, None, false), []);
+    assert_eq!(service_violations(200, soon, Some(soon), false), []);
+}
+
+#[test]
+fn reports_retries_beyond_the_budget() {
+    let start = Instant::now();
+    let retried = |count: u32| {
+        let mut checker = GuaranteeChecker::default();
+        let mut runs = Vec::new();
+        for index in 0..100 {
+            let id = format!("call-{index}");
+            checker.record_call(record(&id, answer(200, &id), false));
+            for run in 0..=u32::from(index < count) {
+                runs.push(BackendRun {
+                    id: id.clone(),
+                    at: start + Duration::from_millis(u64::from(run)),
+                    incarnation: 1,
+                    answered_at: None,
+                });
+            }
+        }
+        checker.check_retries(&runs);
+        violation_kinds(&checker)
+    };
+    assert_eq!(retried(76), []);
+    assert_eq!(retried(77), [GuaranteeKind::ExcessRetries]);
+}
