Renew as often as a watcher as soon as a node is one

A node that becomes a watcher, since another has ended, kept the time of its next renewal as it was before, up to 2 s away, and vouched meanwhile without one. If it lost the store then, and the other watcher too, the nodes that relied on them had a version later than 2 s after it was confirmed. Class: a proof that is older than those who rely on it believe.

The registrar now looks each 0.5 s whether a renewal is due by the role that the node has then. version_is_in_force_in_time_although_a_new_watcher_lost_the_store_unnoticed failed before (version 3 instead of 7).

--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -59,7 +59,8 @@
     lease: Option<GrantedLease>,
     /// Registration written under the lease.
     written: Option<NodeRegistration>,
-    next_renewal: Instant,
+    /// Time of the latest grant or renewal.
+    last_renewal: Instant,
 }
 
 impl NodeRegistrar {
@@ -71,7 +72,7 @@
             health,
             lease: None,
             written: None,
-            next_renewal: Instant::now(),
+            last_renewal: Instant::now(),
         }
     }
 
@@ -100,7 +101,7 @@
                         () = changed.notified() => self.check_directory(),
                         // The store may have come back from an older copy.
                         _ = recovery.changed() => {}
-                        () = sleep_until(self.next_renewal) => {}
+                        () = sleep_until(self.next_check()) => {}
                     }
                 }
                 Err(error) => {
@@ -128,7 +129,7 @@
     /// Renews the lease if that is due, and writes the registration if it has changed or the store
     /// has come back from an older copy.
     async fn update_store(&mut self) -> Result<(), StoreError> {
-        if self.lease.is_some() && Instant::now() >= self.next_renewal {
+        if self.lease.is_some() && Instant::now() >= self.renewal_time() {
             self.renew().await?;
         }
         loop {
@@ -171,7 +172,7 @@
         let era = granted.era;
         let lease = GrantedLease { id: lease, era };
         self.lease = Some(lease);
-        self.next_renewal = Instant::now() + self.renew_interval();
+        self.last_renewal = Instant::now();
         Ok(lease)
     }
 
@@ -181,7 +182,7 @@
         };
         match self.keep_alive(lease.id).await {
             Ok(_) => {
-                self.next_renewal = Instant::now() + self.renew_interval();
+                self.last_renewal = Instant::now();
                 Ok(())
             }
             Err(StoreError::LeaseLapsed { .. }) => {
@@ -205,12 +206,21 @@
         renewal.await
     }
 
-    fn renew_interval(&self) -> Duration {
-        if self.handle.read(MeshCore::is_watcher) {
+    /// Time at which the lease has to be renewed, by the role that the node has now.
+    fn renewal_time(&self) -> Instant {
+        let interval = if self.handle.read(MeshCore::is_watcher) {
             WATCHER_RENEW_INTERVAL
         } else {
             RENEW_INTERVAL
-        }
+        };
+        self.last_renewal + interval
+    }
+
+    /// Time at which to check again whether something is due. The node may become a watcher
+    /// meanwhile.
+    fn next_check(&self) -> Instant {
+        self.renewal_time()
+            .min(Instant::now() + WATCHER_RENEW_INTERVAL)
     }
 
     async fn write(
@@ -247,7 +257,6 @@
             Err(StoreError::LeaseLapsed { .. }) => {
                 info!(event = "lease_lapsed", lease = %lease);
                 self.drop_lease();
-                self.next_renewal = Instant::now() + RETRY_DELAY;
                 Ok(())
             }
             Err(error) => Err(error),
--- a/crates/sequoiagw-mesh/tests/fleet/lost_watchers.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/lost_watchers.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sequoiagw_mesh::MeshCore;
 use sequoiagw_mesh::MeshSettings;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
@@ -198,3 +199,31 @@
     let check = check_versions_after_a_start(&["a", "b", "d"]);
     LocalSet::new().run_until(check).await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn version_is_in_force_in_time_although_a_new_watcher_lost_the_store_unnoticed() {
+    let check = async {
+        // The moment of the cut relative to the renewals of the new watcher is varied.
+        for step in 0..20 {
+            let store = start_store(3, &NODES);
+            let nodes = start_nodes(&store, &DirectLinks::default());
+            sleep(Duration::from_secs(8)).await;
+            WatcherEnd::PowerLoss.apply(&nodes[..1]);
+            // Its lease lapses, and one of the two nodes after the first two becomes a watcher.
+            let is_watcher = |node: &FleetNode| node.handle.read(MeshCore::is_watcher);
+            while !nodes[2..].iter().any(is_watcher) {
+                sleep(Duration::from_millis(10)).await;
+            }
+            sleep(Duration::from_millis(100) * step).await;
+            for node in nodes.iter().filter(|node| is_watcher(node)) {
+                node.store.set_cut(true);
+            }
+            store.write_config(7);
+            sleep(PROPAGATION_LIMIT).await;
+            let last = nodes.iter().find(|node| !is_watcher(node));
+            let version = last.map(FleetNode::active_version);
+            assert_eq!(version, Some(7), "the cut was at step {step}");
+        }
+    };
+    LocalSet::new().run_until(check).await;
+}
