--- a/crates/sequoiagw-mesh/tests/fleet/lost_watchers.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/lost_watchers.rs
@@ -227,3 +227,30 @@
     };
     LocalSet::new().run_until(check).await;
 }
+
+#[tokio::test(start_paused = true)]
+async fn version_written_in_a_short_outage_is_in_force_in_time_at_a_node_that_follows_the_store() {
+    let check = async {
+        // The moment of the outage relative to the renewals is varied.
+        for step in 0..20 {
+            let store = start_store(3, &NODES);
+            let nodes = start_nodes(&store, &DirectLinks::default());
+            sleep(Duration::from_secs(8)).await;
+            WatcherEnd::PowerLoss.apply(&nodes[..2]);
+            sleep(Duration::from_secs(3) + Duration::from_millis(200) * step).await;
+            for node in &nodes[2..] {
+                node.store.set_cut(true);
+            }
+            sleep(Duration::from_millis(1300)).await;
+            store.write_config(7);
+            for node in &nodes[2..] {
+                node.store.set_cut(false);
+            }
+            sleep(PROPAGATION_LIMIT).await;
+            for node in &nodes[2..] {
+                assert_eq!(node.active_version(), 7, "the outage was at step {step}");
+            }
+        }
+    };
+    LocalSet::new().run_until(check).await;
+}
