Wake the registrar when the node's role changes, instead of each half second

The core now says so when its role changes, which is also logged (watcher_role_changed). The tests of lost watchers hold.

--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -40,6 +40,7 @@
         self.directory.replace(registrations, era, now);
         self.restore_departed(departed, now);
         self.on_directory_changed(now);
+        self.update_role(now);
     }
 
     /// Takes over which incarnation of the backend server has left, from the registration that an
@@ -72,6 +73,7 @@
         if needs_update {
             self.on_directory_changed(now);
         }
+        self.update_role(now);
     }
 
     /// Sends changes of registrations to the other nodes of the data centre if this node is a
--- a/crates/sequoiagw-mesh/src/core_watchers.rs
+++ b/crates/sequoiagw-mesh/src/core_watchers.rs
@@ -50,6 +50,16 @@
             .contains(&self.node)
     }
 
+    /// Notifies the registrar when this node becomes a watcher or no longer is one.
+    pub(crate) fn update_role(&mut self, now: Instant) {
+        let is_watcher = self.is_watcher();
+        if is_watcher != std::mem::replace(&mut self.was_watcher, is_watcher) {
+            info!(event = "watcher_role_changed", is_watcher);
+            self.actions.push(MeshAction::RegistrationChanged);
+            self.process_actions(now);
+        }
+    }
+
     /// Nodes of a data centre that watch the store for it: those with the fastest links, since
     /// watchers send whole versions to the other nodes.
     pub(crate) fn watchers_in(&self, data_centre: &str) -> Vec<NodeId> {
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -65,6 +65,8 @@
     pub(crate) traffic_splitter: TrafficSplitter,
     pub(crate) refused_callers: RefusedCallers,
     pub(crate) watchers: WatcherMonitor,
+    /// Whether this node was a watcher as of the last change of the directory.
+    pub(crate) was_watcher: bool,
     /// Boot of each node as of the last change of the directory.
     pub(crate) known_boots: HashMap<NodeId, u64>,
     pub(crate) rng: ChaCha8Rng,
@@ -108,6 +110,7 @@
             traffic_splitter: TrafficSplitter::default(),
             refused_callers: RefusedCallers::default(),
             watchers: WatcherMonitor::with_startup_grace(Instant::now()),
+            was_watcher: false,
             known_boots: HashMap::new(),
             rng,
             loopback_frames: VecDeque::new(),
--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -98,6 +98,7 @@
             match self.update_store().await {
                 Ok(()) => {
                     tokio::select! {
+                        // Also when the node has become a watcher, which renews more often.
                         () = changed.notified() => self.check_directory(),
                         // The store may have come back from an older copy.
                         _ = recovery.changed() => {}
@@ -216,11 +217,13 @@
         self.last_renewal + interval
     }
 
-    /// Time at which to check again whether something is due. The node may become a watcher
-    /// meanwhile.
+    /// Time at which something is due without a notice: a renewal, or another attempt to register if
+    /// the lease ended before the registration was written.
     fn next_check(&self) -> Instant {
-        self.renewal_time()
-            .min(Instant::now() + WATCHER_RENEW_INTERVAL)
+        match self.lease {
+            Some(_) => self.renewal_time(),
+            None => Instant::now() + RETRY_DELAY,
+        }
     }
 
     async fn write(
