--- a/crates/sequoiagw-store/src/lib.rs
+++ b/crates/sequoiagw-store/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod etcd_store;
 mod gateway_json;
+mod gateway_messages;
 mod platform_store;
 mod polling_store;
 mod store_era;
