--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind as IoErrorKind;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -37,6 +38,8 @@
 const MAX_RESPONSE_BYTES: u64 = 4 * 1024 * 1024;
 /// Largest number of idle connections in the pool.
 const MAX_IDLE_CONNECTIONS: usize = 64;
+/// Longest part of a path in a log line, in bytes.
+const MAX_LOGGED_PATH_BYTES: usize = 120;
 /// Status with which a backend server refuses a request that names another process.
 const STATUS_MISDIRECTED: u16 = 421;
 
@@ -130,7 +133,12 @@
                 result
             }
             Err(error) => {
-                info!(target: REQUEST_LOG_TARGET, event = "run_failed", request = %dispatch.request_id, error = %error);
+                let backend_ended = self.has_ended().await;
+                info!(
+                    target: REQUEST_LOG_TARGET, event = "run_failed",
+                    request = %dispatch.request_id, method = %dispatch.method,
+                    path = logged_path(&dispatch.path), error = %error, backend_ended, instance
+                );
                 match error {
                     ExchangeError::Broken => BackendResult::Broken,
                     ExchangeError::Truncated => BackendResult::Truncated,
@@ -139,6 +147,17 @@
         }
     }
 
+    /// Whether the process of the backend server has ended, so that its port is closed.
+    async fn has_ended(&self) -> bool {
+        match HttpConnection::connect(self.address, CONNECT_TIMEOUT, PEER_TIMEOUT).await {
+            Ok(connection) => {
+                self.return_to_pool(connection);
+                false
+            }
+            Err(error) => error.kind() == IoErrorKind::ConnectionRefused,
+        }
+    }
+
     fn take_idle_connection(&self) -> Option<HttpConnection> {
         let mut state = self.state.borrow_mut();
         while let Some(connection) = state.idle.pop() {
@@ -252,6 +271,11 @@
     }
 }
 
+/// Start of a path, short enough for a log line.
+fn logged_path(path: &str) -> &str {
+    path.get(..MAX_LOGGED_PATH_BYTES).unwrap_or(path)
+}
+
 /// Parses a limit in requests per second; `None` if it isn't one.
 fn parse_limit(value: &str) -> Option<f64> {
     let limit: f64 = value.trim().parse().ok()?;
