--- a/crates/sequoiagw-soak/src/lib.rs
+++ b/crates/sequoiagw-soak/src/lib.rs
@@ -20,6 +20,7 @@
 pub use guarantee_checker::GuaranteeKind;
 pub use guarantee_checker::GuaranteeViolation;
 pub use guarantee_checker::NamedLimit;
+pub use node_process::NodeProcess;
 pub use soak_fleet::run_address;
 pub use soak_run::run_soak;
 pub use soak_run::SoakOptions;
--- a/crates/sequoiagw-soak/src/node_process.rs
+++ b/crates/sequoiagw-soak/src/node_process.rs
@@ -17,7 +17,8 @@
 const EXIT_POLL_INTERVAL: Duration = Duration::from_millis(20);
 
 /// A node's process, killed when this value is dropped.
-pub(crate) struct NodeProcess {
+#[derive(Debug)]
+pub struct NodeProcess {
     program: PathBuf,
     settings_file: PathBuf,
     log_file: PathBuf,
@@ -31,7 +32,7 @@
     /// Writes the settings file without starting the process.
     ///
     /// Errors: the settings file cannot be written.
-    pub(crate) fn new(
+    pub fn new(
         program: PathBuf,
         folder: &std::path::Path,
         addresses: &NodeAddresses,
@@ -55,7 +56,7 @@
     /// Starts the process and appends its output to the node's log file.
     ///
     /// Errors: the log file cannot be opened, or the program cannot be started.
-    pub(crate) fn start(&mut self) -> eyre::Result<()> {
+    pub fn start(&mut self) -> eyre::Result<()> {
         let log: File = OpenOptions::new()
             .create(true)
             .append(true)
@@ -78,7 +79,7 @@
     }
 
     /// Sends a signal to the process, if one is running.
-    pub(crate) fn signal(&self, name: &str) {
+    pub fn signal(&self, name: &str) {
         let Some(child) = &self.child else {
             return;
         };
@@ -92,7 +93,7 @@
     }
 
     /// Kills the process and waits until it has exited.
-    pub(crate) fn kill(&mut self) {
+    pub fn kill(&mut self) {
         if let Some(mut child) = self.child.take() {
             // Killing fails if the process has already exited, which is the intended state.
             let _ = child.kill();
@@ -101,7 +102,7 @@
     }
 
     /// Whether no process is running: it has exited or was never started.
-    pub(crate) fn has_exited(&mut self) -> bool {
+    pub fn has_exited(&mut self) -> bool {
         let Some(child) = &mut self.child else {
             return true;
         };
