Hold back a request that has crashed three backend servers, at all nodes

Cause: no decision took as input that a request had ended servers before. Each repeat had a new id and was new to every node; a crash wasn't told from a connection that broke. Class: what one call learns is forgotten with it.

Why it works: after a failed run the node looks whether the server's port is closed. If so, the requests that ran there get a record of that process, in a table that all nodes exchange: sent at once to the data centre and to the watchers of the others, repaired by hashes twice a second. From two records on, a call isn't retried; from three on it is refused at its entry, in queues and just before a run. A request that runs well clears its records; one that ran well before isn't blamed when many processes end within a second.

The test server of answers that stop early closed its port after the last text, which now reads as a crash; it stays open, and a connection without a request takes none of the texts. What the test asks of each answer is the same.

--- a/crates/sequoiagw-mesh/src/caller_server.rs
+++ b/crates/sequoiagw-mesh/src/caller_server.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 use tracing::info;
 use tracing::warn;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call_log::CallLog;
 use crate::retry_after_delay;
@@ -190,6 +191,7 @@
         let service = self
             .handle
             .read(|core| core.settings().backend.service.clone());
+        let caller_name_hash = xxh3_64(service.as_bytes());
         let mut headers: Vec<HeaderField> = request
             .head
             .headers
@@ -208,6 +210,7 @@
             body: request.body,
             idempotency_key: String::new(),
             caller_hash: 0,
+            caller_name_hash,
             request_id: request_id.to_owned(),
         }
     }
--- a/crates/sequoiagw-mesh/src/core_actions.rs
+++ b/crates/sequoiagw-mesh/src/core_actions.rs
@@ -29,7 +29,9 @@
 
     /// Processes the actions of both state machines; returns whether there were none.
     fn process_call_actions(&mut self, now: Instant) -> bool {
-        let actions = self.calls.take_actions(|node| self.directory.name(node));
+        let actions = self
+            .calls
+            .take_actions(|node| self.directory.name(node), now);
         let idle = actions.is_empty();
         for action in actions {
             match action {
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -96,6 +96,7 @@
             }
             FrameBody::Digest(received) => self.on_digest(from, received, now),
             FrameBody::VersionDelta(delta) => self.on_delta(from, &delta, now),
+            FrameBody::Crashes(received) => self.on_crash_records(from, &received, now),
             _ => self.counters.count("frame.unexpected"),
         }
     }
--- a/crates/sequoiagw-mesh/src/core_versions.rs
+++ b/crates/sequoiagw-mesh/src/core_versions.rs
@@ -68,7 +68,7 @@
             .map_or(0, |version| version.number)
     }
 
-    fn is_in_own_data_centre(&self, node: NodeId) -> bool {
+    pub(crate) fn is_in_own_data_centre(&self, node: NodeId) -> bool {
         self.directory
             .registered_in(&self.settings.data_centre)
             .any(|registered| registered == node)
--- a/crates/sequoiagw-mesh/src/core_watchers.rs
+++ b/crates/sequoiagw-mesh/src/core_watchers.rs
@@ -40,7 +40,9 @@
             hashes: store_available.then_some(hash).into_iter().collect(),
             sender: Some(own),
             version: self.active_version_number(),
+            crash_hash: Some(self.calls.crashes.hash()),
         };
+        self.announce_crashes();
         self.broadcast_to_data_centre(&FrameBody::Digest(digest), now);
     }
 
@@ -86,6 +88,9 @@
         if self.watchers.take_pending_records_request(now) {
             self.request_records(from);
         }
+        if let Some(hash) = received.crash_hash {
+            self.on_crash_hash(from, hash, now);
+        }
         self.on_peer_version(from, received.version, now);
         let store_unavailable = sender_lacks_store || self.store_access == StoreAccess::Failing;
         let must_join = store_unavailable && self.active_version.is_none();
--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -7,6 +7,7 @@
 mod call_log;
 mod caller_server;
 mod core_actions;
+mod core_crashes;
 mod core_directory;
 mod core_frames;
 mod core_target;
--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -140,6 +140,7 @@
                     path = logged_path(&dispatch.path), error = %error, backend_ended, instance
                 );
                 match error {
+                    _ if backend_ended => BackendResult::Crashed,
                     ExchangeError::Broken => BackendResult::Broken,
                     ExchangeError::Truncated => BackendResult::Truncated,
                 }
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -31,6 +31,7 @@
 use crate::MeshSettings;
 use crate::MeshVersion;
 use crate::NodeRegistration;
+use crate::TargetIncarnation;
 use crate::TargetMonitor;
 use crate::TrafficSplitter;
 use crate::WatcherMonitor;
@@ -267,6 +268,8 @@
         if matches!(result, BackendResult::Answered { .. }) {
             self.target.on_answer(now);
         }
+        let server = self.target.staying().map(TargetIncarnation::process);
+        self.calls.crashes.set_server(server);
         self.calls.on_run_finished(run, result, now);
         self.process_actions(now);
     }
@@ -274,6 +277,7 @@
     /// Handles everything that is due at `now`.
     pub fn on_tick(&mut self, now: Instant) {
         self.calls.on_tick(now);
+        self.send_crash_news(now);
         self.update_slot_offer(now);
         let entry = &self.calls.entry;
         if self.directory.expire(now, |node| entry.last_contact(node)) {
--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -2,9 +2,11 @@
 
 use std::time::Duration;
 
+use sequoiagw_policy::ServerProcess;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::node_registration::MAX_BACKEND_SLOTS;
 
@@ -51,6 +53,13 @@
     pub born_ms: u64,
 }
 
+impl TargetIncarnation {
+    /// Number of the process, equal at all nodes.
+    pub fn process(&self) -> ServerProcess {
+        ServerProcess(xxh3_64_with_seed(self.instance.as_bytes(), self.born_ms))
+    }
+}
+
 /// State of the current incarnation.
 #[derive(Clone, Debug)]
 struct CurrentIncarnation {
@@ -199,6 +208,12 @@
         self.current.as_ref().map(|current| &current.incarnation)
     }
 
+    /// Incarnation that sent the newest heartbeat, unless it is leaving.
+    pub fn staying(&self) -> Option<&TargetIncarnation> {
+        let current = self.current.as_ref().filter(|current| !current.leaving);
+        current.map(|current| &current.incarnation)
+    }
+
     /// Incarnation that is leaving.
     pub fn leaving(&self) -> Option<&TargetIncarnation> {
         let current = self.current.as_ref().filter(|current| current.leaving);
--- a/crates/sequoiagw-mesh/tests/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_backend.rs
@@ -224,18 +224,19 @@
         .await;
 }
 
-/// Starts a server that sends the next of these texts on each connection and closes it.
+/// Starts a server that answers each request with the next of these texts and closes the connection.
+/// A connection without a request, by which a node learns that the server lives, takes no text.
 async fn start_closing_server(texts: Vec<String>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     tokio::task::spawn_local(async move {
-        for text in texts {
-            let Ok((mut stream, _)) = listener.accept().await else {
-                return;
-            };
+        let mut texts = texts.into_iter();
+        while let Ok((mut stream, _)) = listener.accept().await {
             let mut part = [0; 2048];
-            let _ = stream.read(&mut part).await;
-            let _ = stream.write_all(text.as_bytes()).await;
+            if stream.read(&mut part).await.unwrap_or_default() > 0 {
+                let text = texts.next().unwrap_or_default();
+                let _ = stream.write_all(text.as_bytes()).await;
+            }
         }
     });
     address
--- a/crates/sequoiagw-mesh/tests/mesh_core.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core.rs
@@ -16,6 +16,8 @@
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
 use sequoiagw_policy::PlacementRule;
+use sequoiagw_protocol::CrashRecord;
+use sequoiagw_protocol::CrashRecords;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::NodeId;
@@ -286,3 +288,89 @@
         assert_eq!(registered.leaving, Some(left.clone()), "process {boot}");
     }
 }
+
+/// Crash of a backend server under a request that crashes each, as the node beside it reports it.
+fn crash_of(server: u64) -> CrashRecord {
+    CrashRecord {
+        digest_high: 1,
+        digest_low: 2,
+        server,
+        age_ms: 0,
+        cleared: false,
+    }
+}
+
+/// Lets a node receive crashes from another.
+fn receive_crashes(core: &mut MeshCore, from: &str, records: Vec<CrashRecord>, now: Instant) {
+    let message = CrashRecords {
+        records,
+        ..CrashRecords::default()
+    };
+    let frame = PeerFrame::new(NodeId::from_name(from), BOOT, FrameBody::Crashes(message));
+    core.on_frame(frame, 50, now);
+}
+
+fn held_requests(core: &MeshCore, now: Instant) -> usize {
+    core.held_requests(now).len()
+}
+
+#[tokio::test(start_paused = true)]
+async fn node_that_missed_the_crashes_learns_them_from_a_watcher() {
+    let now = Instant::now();
+    let mut cores = [
+        ("a", core_with("a", &NODES, now)),
+        ("c", core_with("c", &NODES, now)),
+    ];
+    let crashes = (1..=3).map(crash_of).collect();
+    receive_crashes(&mut cores[0].1, "d", crashes, now);
+    cores[0].1.take_actions();
+    assert_eq!(held_requests(&cores[1].1, now), 0);
+    cores[0].1.broadcast_digest(true, now);
+    deliver_frames(&mut cores, now);
+    assert_eq!(held_requests(&cores[1].1, now), 1);
+}
+
+#[tokio::test(start_paused = true)]
+async fn watcher_that_missed_a_crash_learns_it_from_the_node_that_knows() {
+    let now = Instant::now();
+    let mut cores = [
+        ("a", core_with("a", &NODES, now)),
+        ("c", core_with("c", &NODES, now)),
+    ];
+    receive_crashes(&mut cores[0].1, "d", vec![crash_of(1)], now);
+    receive_crashes(&mut cores[1].1, "d", vec![crash_of(2), crash_of(3)], now);
+    cores[0].1.broadcast_digest(true, now);
+    deliver_frames(&mut cores, now);
+    for (name, core) in &cores {
+        assert_eq!(held_requests(core, now), 1, "{name}");
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn data_centre_that_was_cut_off_learns_the_crashes_when_it_is_back() {
+    let now = Instant::now();
+    let north = |name| stored(registration(name, BOOT));
+    let south = NodeRegistration {
+        data_centre: "south".to_owned(),
+        ..registration("d", BOOT)
+    };
+    let registrations = || vec![north("a"), north("b"), north("c"), stored(south.clone())];
+    let mut cores = ["a", "c", "d"].map(|name| {
+        let mut settings = settings(name);
+        settings.data_centre = if name == "d" { "south" } else { "north" }.to_owned();
+        let mut core = MeshCore::new(settings, BOOT, NodeCounters::default());
+        core.on_registrations(registrations(), StoreEra::default(), now);
+        core.take_actions();
+        (name, core)
+    });
+    receive_crashes(&mut cores[0].1, "c", vec![crash_of(1), crash_of(2)], now);
+    receive_crashes(&mut cores[2].1, "d", vec![crash_of(3)], now);
+    for (_, core) in &mut cores {
+        core.take_actions();
+    }
+    cores[0].1.broadcast_digest(true, now);
+    deliver_frames(&mut cores, now);
+    for (name, core) in &cores {
+        assert_eq!(held_requests(core, now), 1, "{name}");
+    }
+}
--- a/crates/sequoiagw-mesh/tests/store_follower.rs
+++ b/crates/sequoiagw-mesh/tests/store_follower.rs
@@ -190,6 +190,7 @@
             hashes: vec![hash],
             sender: Some(written("a").to_record()),
             version: number,
+            ..TableDigest::default()
         };
         let frame = PeerFrame::new(NodeId::from_name("a"), BOOT, FrameBody::Digest(digest));
         core.on_frame(frame, 50, now);
--- a/crates/sequoiagw-node/src/backend_client.rs
+++ b/crates/sequoiagw-node/src/backend_client.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::io::ErrorKind as IoErrorKind;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -101,6 +102,12 @@
             let result = timeout_at(deadline, pending)
                 .await
                 .unwrap_or(BackendResult::Aborted);
+            let result = match result {
+                BackendResult::Broken | BackendResult::Truncated if has_ended(&address).await => {
+                    BackendResult::Crashed
+                }
+                result => result,
+            };
             state.borrow_mut().runs.remove(&run);
             let _ = events.send(CoreEvent::RunFinished(run, result));
         });
@@ -174,6 +181,12 @@
     Some((sender, ConnectionUse::First))
 }
 
+/// Whether the process of the backend server has ended, so that its port is closed.
+async fn has_ended(address: &str) -> bool {
+    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
+    matches!(connected, Ok(Err(error)) if error.kind() == IoErrorKind::ConnectionRefused)
+}
+
 fn return_connection(state: &Rc<RefCell<BackendState>>, address: &str, sender: BackendSender) {
     let mut state = state.borrow_mut();
     if state.idle.len() < MAX_IDLE_CONNECTIONS && !sender.is_closed() {
--- a/crates/sequoiagw-node/src/caller_server.rs
+++ b/crates/sequoiagw-node/src/caller_server.rs
@@ -73,6 +73,8 @@
 const MAX_REQUESTED_TIMEOUT_MS: u64 = 600_000;
 /// Value of `Retry-After` on 503 responses, in seconds.
 const RETRY_AFTER_SECONDS: &str = "1";
+/// The same for a request that is held back.
+const HELD_RETRY_AFTER_SECONDS: &str = "60";
 /// Delay after a failed accept, so that a lasting error, such as no free file descriptor,
 /// doesn't cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
@@ -297,10 +299,8 @@
             "idempotency-key takes 1 to 128 visible ASCII characters",
         ));
     }
-    let caller_hash = header_value(&request, CALLER_HEADER).map_or_else(
-        || xxh3_64(caller_ip.to_string().as_bytes()),
-        |name| xxh3_64(name.as_bytes()),
-    );
+    let name_hash = header_value(&request, CALLER_HEADER).map(|name| xxh3_64(name.as_bytes()));
+    let caller_hash = name_hash.unwrap_or_else(|| xxh3_64(caller_ip.to_string().as_bytes()));
     let key = key.to_owned();
     let method = request.method().as_str().to_owned();
     let path = request
@@ -322,6 +322,7 @@
         body,
         idempotency_key: key,
         caller_hash,
+        caller_name_hash: name_hash.unwrap_or_default(),
         request_id,
     })
 }
@@ -374,7 +375,11 @@
     };
     headers.insert(RAN_HEADER, HeaderValue::from_static(run_state));
     if rule.status == 503 {
-        headers.insert(RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER_SECONDS));
+        let seconds = match kind {
+            ErrorKind::RequestHeld => HELD_RETRY_AFTER_SECONDS,
+            _ => RETRY_AFTER_SECONDS,
+        };
+        headers.insert(RETRY_AFTER, HeaderValue::from_static(seconds));
     }
     response
 }
--- a/crates/sequoiagw-node/src/core_messages.rs
+++ b/crates/sequoiagw-node/src/core_messages.rs
@@ -63,6 +63,7 @@
                     self.counters.count("answer.other_boot");
                 }
             }
+            FrameBody::Crashes(received) => self.on_crash_records(from, &received, now),
             FrameBody::Query(query) => self.calls.owner.on_query(from, boot, query, now),
             FrameBody::Cancel(cancel) => self.calls.owner.on_cancel(from, boot, cancel.call, now),
             FrameBody::Claim(request) => self.on_claim_request(from, request, now),
--- a/crates/sequoiagw-node/src/core_settle.rs
+++ b/crates/sequoiagw-node/src/core_settle.rs
@@ -142,7 +142,7 @@
     pub(crate) fn process_call_actions(&mut self, now: Instant) -> bool {
         let member = |node| self.membership.table().get(node);
         let name_of = |node| member(node).map(|record| record.name.clone());
-        let actions = self.calls.take_actions(name_of);
+        let actions = self.calls.take_actions(name_of, now);
         let idle = actions.is_empty();
         for action in actions {
             match action {
--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -71,6 +71,10 @@
     pub(crate) active_config: Option<Arc<CompiledConfig>>,
     pub(crate) backend: Option<BackendAnnouncement>,
     pub(crate) backend_expiry: Option<Instant>,
+    /// Processes of the backend server that were announced to this node.
+    pub(crate) backend_processes: u64,
+    /// When the hash of the known crashes is sent next, and how often it was.
+    pub(crate) next_crash_sync: (Instant, usize),
     pub(crate) peer_boots: HashMap<NodeId, u64>,
     pub(crate) loopback_frames: VecDeque<FrameBody>,
     pub(crate) members_changed: bool,
@@ -118,6 +122,8 @@
             active_config: None,
             backend: None,
             backend_expiry: None,
+            backend_processes: 0,
+            next_crash_sync: (now, 0),
             peer_boots: HashMap::new(),
             loopback_frames: VecDeque::new(),
             members_changed: true,
@@ -266,9 +272,13 @@
             CoreEvent::RunFinished(run, result) => self.calls.on_run_finished(run, result, now),
             CoreEvent::BackendAnnounced(announcement) => {
                 self.backend_expiry = Some(now + ANNOUNCEMENT_TTL);
+                self.on_backend_process();
                 self.set_backend(Some(announcement), now);
             }
-            CoreEvent::BackendWithdrawn => self.set_backend(None, now),
+            CoreEvent::BackendWithdrawn => {
+                self.calls.crashes.set_server(None);
+                self.set_backend(None, now);
+            }
             // Backend servers of the project's own interface name no limit.
             CoreEvent::BackendNoticed(_) => self.counters.count("backend.notice_unexpected"),
         }
@@ -282,6 +292,8 @@
         self.holder.on_tick(now);
         self.committer.on_tick(now);
         self.calls.on_tick(now);
+        self.send_crash_news(now);
+        self.sync_crashes(now);
         if self.backend_expiry.is_some_and(|until| now >= until) {
             warn!(event = "backend_silent", node = %self.identity.name);
             self.set_backend(None, now);
@@ -298,6 +310,7 @@
             self.calls.next_wake(),
             self.backend_expiry,
             self.linger_until.filter(|_| !self.stopped),
+            self.crash_sync_due(),
         ];
         let wake = self.membership.next_wake();
         wakes.into_iter().flatten().fold(wake, Instant::min)
--- a/crates/sequoiagw-policy/src/entry_action.rs
+++ b/crates/sequoiagw-policy/src/entry_action.rs
@@ -5,6 +5,7 @@
 
 use crate::AbandonRecord;
 use crate::CallerReply;
+use crate::RequestDigest;
 use crate::RetryRecord;
 
 /// An action for the entry's node to carry out.
@@ -16,6 +17,8 @@
     ResetLink(NodeId),
     /// Reply to the caller of the call with this id.
     Reply(u64, CallerReply),
+    /// Record that a request ran well.
+    RanWell(RequestDigest),
     /// Count an event, and log it if it concerns a single request.
     Record(EntryEvent),
 }
--- a/crates/sequoiagw-policy/src/entry_call.rs
+++ b/crates/sequoiagw-policy/src/entry_call.rs
@@ -58,6 +58,8 @@
     pub idempotency_key: String,
     /// Hash that identifies the caller.
     pub caller_hash: u64,
+    /// Hash of the caller's name, the same at every node; 0 if the caller has none.
+    pub caller_name_hash: u64,
     /// Request id for logs.
     pub request_id: String,
 }
--- a/crates/sequoiagw-policy/src/entry_dispatch.rs
+++ b/crates/sequoiagw-policy/src/entry_dispatch.rs
@@ -105,6 +105,7 @@
         rank: u32::from(entry_call.spec.level.get()),
         remaining_ms: remaining.as_millis() as u32,
         caller_hash: request.caller_hash,
+        caller_name_hash: request.caller_name_hash,
         key: request.idempotency_key.clone(),
         fingerprint: request_fingerprint(request),
         method: request.method.clone(),
--- a/crates/sequoiagw-policy/src/entry_failures.rs
+++ b/crates/sequoiagw-policy/src/entry_failures.rs
@@ -45,6 +45,20 @@
         self.retry(call, kind, RetryReason::Undelivered, now);
     }
 
+    /// Whether a dispatch follows an earlier one that may have reached a backend server.
+    pub fn is_retry(&self, dispatch: u64, node: NodeId) -> bool {
+        let call = self.call_of_dispatch(dispatch, node);
+        let entry_call = call.and_then(|call| self.calls.get(&call));
+        entry_call.is_some_and(|entry_call| entry_call.counted_attempts > 0)
+    }
+
+    /// Ends a call whose dispatch is not sent, since its request is held back.
+    pub fn on_dispatch_held(&mut self, dispatch: u64, node: NodeId) {
+        if let Some(call) = self.call_of_dispatch(dispatch, node) {
+            self.reply(call, Err(ErrorKind::RequestHeld));
+        }
+    }
+
     /// Handles a query that couldn't be delivered because the node is unreachable. An
     /// idempotent call is retried without waiting for the outcome of this attempt.
     pub fn on_query_undelivered(&mut self, dispatch: u64, node: NodeId, now: Instant) {
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -24,6 +24,7 @@
 use crate::CallerReply;
 use crate::EntryAction;
 use crate::EntryEvent;
+use crate::RequestIdentity;
 use crate::RetryBudget;
 use crate::TargetBalancer;
 
@@ -103,6 +104,26 @@
 
     /// Starts a call and returns its id, under which [`EntryAction::Reply`] follows.
     pub fn begin_call(&mut self, spec: CallSpec, request: CallRequest, now: Instant) -> u64 {
+        let call = self.add_call(spec, request, now);
+        self.dispatch(call, now);
+        call
+    }
+
+    /// Refuses a call without a dispatch and returns its id, under which [`EntryAction::Reply`]
+    /// follows.
+    pub fn refuse_call(
+        &mut self,
+        spec: CallSpec,
+        request: CallRequest,
+        kind: ErrorKind,
+        now: Instant,
+    ) -> u64 {
+        let call = self.add_call(spec, request, now);
+        self.reply(call, Err(kind));
+        call
+    }
+
+    fn add_call(&mut self, spec: CallSpec, request: CallRequest, now: Instant) -> u64 {
         let call = self.allocate_id();
         let deadline = now + spec.timeout;
         self.retry_budget(&spec.service)
@@ -129,7 +150,6 @@
             wake_at: now,
         };
         self.calls.insert(call, entry_call);
-        self.dispatch(call, now);
         call
     }
 
@@ -250,6 +270,12 @@
                 Some(unknown_outcome) if kind.rule().ran == RunState::No => unknown_outcome,
                 _ => kind,
             });
+            if outcome.as_ref().is_ok_and(ServedAnswer::ran_well) {
+                let identity = RequestIdentity::of_request(&entry_call.request);
+                for variant in identity.variants() {
+                    self.actions.push(EntryAction::RanWell(variant.digest()));
+                }
+            }
             let reply = CallerReply {
                 outcome,
                 attempts: entry_call.attempts,
--- a/crates/sequoiagw-policy/src/owner_call.rs
+++ b/crates/sequoiagw-policy/src/owner_call.rs
@@ -44,6 +44,11 @@
     Broken,
     /// The answer ended before its announced length.
     Truncated,
+    /// The connection failed after part of the request was sent, because the process of the backend
+    /// server has ended.
+    Crashed,
+    /// The request is held back, because it has crashed several backend servers. Nothing was sent.
+    Held,
     /// The run was aborted at its deadline or because the call was cancelled.
     Aborted,
 }
@@ -70,7 +75,8 @@
             }),
             Self::Shed => CallOutcome::refused(ErrorKind::BackendShed),
             Self::Refused => CallOutcome::refused(ErrorKind::BackendRefused),
-            Self::Broken => CallOutcome::refused(ErrorKind::BackendBroken),
+            Self::Broken | Self::Crashed => CallOutcome::refused(ErrorKind::BackendBroken),
+            Self::Held => CallOutcome::refused(ErrorKind::RequestHeld),
             Self::Truncated => CallOutcome::refused(ErrorKind::AnswerTruncated),
             Self::Aborted => CallOutcome::refused(ErrorKind::DeadlineRunning),
         }
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -165,6 +165,34 @@
         }
     }
 
+    /// Refuses the queued calls that `is_held` selects, as not run.
+    pub fn refuse_held<IsHeld>(&mut self, is_held: IsHeld, now: Instant)
+    where
+        IsHeld: Fn(&CallDispatch) -> bool,
+    {
+        for id in self.queue.call_ids() {
+            if self
+                .calls
+                .get(&id)
+                .is_some_and(|call| is_held(&call.dispatch))
+            {
+                self.queue.remove(id);
+                self.refuse(id, ErrorKind::RequestHeld, now);
+            }
+        }
+    }
+
+    /// The call of a run that hasn't ended.
+    pub fn running_dispatch(&self, run: RunId) -> Option<&CallDispatch> {
+        let call = self.calls.get(self.runs.get(&run)?)?;
+        Some(&call.dispatch)
+    }
+
+    /// Number that the next run gets; later runs have higher ones.
+    pub fn next_run(&self) -> RunId {
+        RunId(self.next_run)
+    }
+
     /// Whether the owner has stopped accepting calls.
     pub fn is_draining(&self) -> bool {
         self.draining
--- a/crates/sequoiagw-protocol/src/call_message.rs
+++ b/crates/sequoiagw-protocol/src/call_message.rs
@@ -79,6 +79,9 @@
     /// Time left of the call's latency target, in milliseconds.
     #[prost(uint32, tag = "18")]
     pub latency_target_ms: u32,
+    /// Hash of the caller's name, the same at every node; 0 if the caller has none.
+    #[prost(fixed64, tag = "19")]
+    pub caller_name_hash: u64,
 }
 
 /// Limit on the time for which a dispatched call may wait for a slot. The owner refuses a call
@@ -115,6 +118,16 @@
     pub replayed: bool,
 }
 
+/// Lowest status with which a backend server says that it failed.
+const STATUS_SERVER_ERROR: u32 = 500;
+
+impl ServedAnswer {
+    /// Whether the backend server doesn't say that it failed.
+    pub fn ran_well(&self) -> bool {
+        self.status < STATUS_SERVER_ERROR
+    }
+}
+
 impl CallOutcome {
     /// Builds the outcome of a call that failed or was refused.
     pub fn refused(kind: ErrorKind) -> Self {
--- a/crates/sequoiagw-protocol/src/error_kind.rs
+++ b/crates/sequoiagw-protocol/src/error_kind.rs
@@ -119,6 +119,8 @@
     ServiceMismatch = 21 => 503, No, true, "service_mismatch", "The target no longer serves this service; retry.";
     /// This node is shutting down.
     NodeStopping = 22 => 503, No, false, "node_stopping", "The node is stopping; retry at another node.";
+    /// The request has crashed several backend servers and is held back.
+    RequestHeld = 23 => 503, No, false, "request_held", "This request crashed several backend servers and is held back for minutes; correct the request or the backend server.";
 }
 
 impl std::fmt::Display for ErrorKind {
--- a/crates/sequoiagw-protocol/src/lib.rs
+++ b/crates/sequoiagw-protocol/src/lib.rs
@@ -4,6 +4,7 @@
 
 mod call_message;
 mod config_message;
+mod crash_message;
 mod error_kind;
 mod frame_codec;
 mod frame_part;
@@ -15,6 +16,8 @@
 
 pub use call_message::*;
 pub use config_message::*;
+pub use crash_message::CrashRecord;
+pub use crash_message::CrashRecords;
 pub use error_kind::ErrorKind;
 pub use error_kind::ErrorRule;
 pub use error_kind::RunState;
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -159,6 +159,10 @@
     /// Configuration version in force at the sender, 0 if there is none.
     #[prost(uint64, tag = "3")]
     pub version: u64,
+    /// Hash of the crashes under requests that the sender knows of; absent if it tells them in
+    /// another way.
+    #[prost(fixed64, optional, tag = "4")]
+    pub crash_hash: Option<u64>,
 }
 
 /// Records of the member table.
--- a/crates/sequoiagw-protocol/src/peer_frame.rs
+++ b/crates/sequoiagw-protocol/src/peer_frame.rs
@@ -16,6 +16,7 @@
 use crate::ConfigDelta;
 use crate::ConfigFull;
 use crate::ConfigRequest;
+use crate::CrashRecords;
 use crate::FleetQuery;
 use crate::FleetReport;
 use crate::FramePart;
@@ -42,7 +43,7 @@
     /// Message in the frame; absent if the receiver doesn't support it.
     #[prost(
         oneof = "FrameBody",
-        tags = "10, 11, 12, 13, 14, 15, 16, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 40, 41"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 40, 41"
     )]
     pub body: Option<FrameBody>,
 }
@@ -92,6 +93,9 @@
     /// Part of a large frame.
     #[prost(message, tag = "16")]
     Part(FramePart),
+    /// Crashes of backend servers under requests.
+    #[prost(message, tag = "17")]
+    Crashes(CrashRecords),
     /// Changes between two configuration versions.
     #[prost(message, tag = "20")]
     Delta(ConfigDelta),
@@ -144,7 +148,9 @@
     pub fn kind(&self) -> FrameKind {
         match self {
             Self::Probe(_) | Self::ProbeAnswer(_) | Self::Hello(_) => FrameKind::Probe,
-            Self::Join(_) | Self::Digest(_) | Self::Records(_) => FrameKind::Table,
+            Self::Join(_) | Self::Digest(_) | Self::Records(_) | Self::Crashes(_) => {
+                FrameKind::Table
+            }
             Self::Delta(_)
             | Self::Full(_)
             | Self::ConfigRequest(_)
@@ -172,7 +178,7 @@
 pub enum FrameKind {
     /// Probes and their answers.
     Probe,
-    /// Joins, and updates and repair of the member table.
+    /// Joins, and updates and repair of the tables of members and of crashes.
     Table,
     /// Configuration deltas and full copies, with the requests for them.
     Config,
--- a/tests/crashing_requests/fleet.rs
+++ b/tests/crashing_requests/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::net::SocketAddr;
+use std::path::Path;
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -73,7 +74,8 @@
         fleet
     }
 
-    async fn wait_until_serving(&self) {
+    /// Waits until each node serves.
+    pub async fn wait_until_serving(&self) {
         let started = Instant::now();
         for node in 0..NODE_COUNT {
             while !self.caller(node).get("/look/ready").await.is_served() {
@@ -112,7 +114,7 @@
     }
 }
 
-async fn start_node(run: u32, index: usize, store: &KvStandin, folder: &PathBuf) -> FleetNode {
+async fn start_node(run: u32, index: usize, store: &KvStandin, folder: &Path) -> FleetNode {
     let name = format!("node-{index}");
     let ip = run_address(std::process::id(), run);
     let first_port = BASE_PORT + 4 * index as u16;
