--- a/crates/sequoiagw-cli/src/commands/status.rs
+++ b/crates/sequoiagw-cli/src/commands/status.rs
@@ -41,6 +41,7 @@
     print_node(&status);
     print_fleet(&fleet);
     print_members(&status);
+    print_held_requests(&status);
     print_counters(&status);
     Ok(())
 }
@@ -107,6 +108,17 @@
     }
 }
 
+fn print_held_requests(status: &NodeStatus) {
+    for held in &status.held_requests {
+        println!(
+            "request {} is held back for {} s; it crashed {}",
+            held.digest,
+            held.held_s,
+            held.servers.join(", ")
+        );
+    }
+}
+
 fn print_members(status: &NodeStatus) {
     let mut table = new_table(&[
         "member",
--- a/crates/sequoiagw-mesh/src/local_server.rs
+++ b/crates/sequoiagw-mesh/src/local_server.rs
@@ -1,5 +1,6 @@
 //! HTTP server for readiness checks, metrics, and heartbeats of the backend server.
 
+use std::fmt::Write;
 use std::time::Duration;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -11,6 +12,7 @@
 use sequoiagw_http::ServerPhase;
 use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tracing::info;
 use tracing::warn;
 
@@ -65,7 +67,7 @@
 
     fn handle_request(&self, request: &HttpRequest) -> HttpReply {
         match self.handle.platform_format().parse_local_request(request) {
-            LocalRequest::Metrics => HttpReply::text(200, &self.handle.counters().metrics_text()),
+            LocalRequest::Metrics => HttpReply::text(200, &self.metrics_page()),
             LocalRequest::Readiness if self.handle.read(MeshCore::is_ready) => {
                 HttpReply::empty(200)
             }
@@ -81,6 +83,20 @@
         }
     }
 
+    /// Counters, latencies, and the time for which each request has been held back.
+    fn metrics_page(&self) -> String {
+        let mut page = self.handle.counters().metrics_text();
+        for held in self.handle.read(|core| core.held_requests(Instant::now())) {
+            let _ = writeln!(
+                page,
+                "sequoiagw_request_held_seconds{{digest=\"{}\"}} {}",
+                held.digest,
+                held.held_for.as_secs()
+            );
+        }
+        page
+    }
+
     fn handle_heartbeat(&self, heartbeat: &Heartbeat) -> HttpReply {
         let outcome = self
             .handle
--- a/crates/sequoiagw-node/src/call_machines.rs
+++ b/crates/sequoiagw-node/src/call_machines.rs
@@ -72,6 +72,9 @@
     pub fn begin_call(&mut self, spec: CallSpec, request: CallRequest, now: Instant) -> u64 {
         match self.crashes.verdict(&RequestIdentity::of_request(&request)) {
             CrashVerdict::Held => {
+                let identity = RequestIdentity::of_request(&request);
+                self.crashes
+                    .log_held_call(&request.request_id, &identity, now);
                 self.entry
                     .refuse_call(spec, request, ErrorKind::RequestHeld, now)
             }
--- a/crates/sequoiagw-node/src/core_crashes.rs
+++ b/crates/sequoiagw-node/src/core_crashes.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use sequoiagw_policy::HeldRequest;
 use sequoiagw_policy::ServerProcess;
 use sequoiagw_protocol::CrashRecords;
 use sequoiagw_protocol::FrameBody;
@@ -68,6 +69,11 @@
         }
     }
 
+    /// Requests that are held back, because they crashed several backend servers.
+    pub fn held_requests(&self, now: Instant) -> Vec<HeldRequest> {
+        self.calls.crashes.held(now)
+    }
+
     /// When [`Self::sync_crashes`] has something to send.
     pub(crate) fn crash_sync_due(&self) -> Option<Instant> {
         let (due, _) = self.next_crash_sync;
--- a/crates/sequoiagw-node/src/crash_monitor.rs
+++ b/crates/sequoiagw-node/src/crash_monitor.rs
@@ -85,6 +85,20 @@
         verdicts.max().unwrap_or(CrashVerdict::Allowed)
     }
 
+    /// Logs why a call is refused whose request is held back.
+    pub fn log_held_call(&self, request_id: &str, identity: &RequestIdentity<'_>, now: Instant) {
+        let mut digests = identity.variants().map(|variant| variant.digest());
+        let Some(held) = digests.find_map(|digest| self.table.held_request(digest, now)) else {
+            return;
+        };
+        info!(
+            target: REQUEST_LOG_TARGET,
+            event = "call_held", request = request_id, digest = %held.digest,
+            servers = join_servers(&held), crash_span_ms = held.crash_span.as_millis() as u64,
+            held_ms = held.held_for.as_millis() as u64
+        );
+    }
+
     /// Handles the end of a run.
     pub fn on_run_finished(
         &mut self,
@@ -242,9 +256,8 @@
         let newly_held = self.table.take_newly_held(now);
         for held in &newly_held {
             self.counters.count("crash.request_held");
-            let servers: Vec<String> = held.servers.iter().map(ToString::to_string).collect();
             warn!(
-                event = "request_held", digest = %held.digest, servers = servers.join(","),
+                event = "request_held", digest = %held.digest, servers = join_servers(held),
                 crash_span_ms = held.crash_span.as_millis() as u64
             );
         }
@@ -256,3 +269,8 @@
         self.table.expire(now);
     }
 }
+
+fn join_servers(held: &HeldRequest) -> String {
+    let servers: Vec<String> = held.servers.iter().map(ToString::to_string).collect();
+    servers.join(",")
+}
--- a/crates/sequoiagw-node/src/lib.rs
+++ b/crates/sequoiagw-node/src/lib.rs
@@ -67,6 +67,7 @@
 pub use node_handle::NodeHandle;
 pub use node_process::run_node;
 pub use node_settings::NodeSettings;
+pub use node_status::HeldRequestStatus;
 pub use node_status::MemberStatus;
 pub use node_status::NodeStatus;
 pub use part_joiner::JoinError;
--- a/crates/sequoiagw-node/src/node_status.rs
+++ b/crates/sequoiagw-node/src/node_status.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use sequoiagw_policy::HeldRequest;
 use sequoiagw_protocol::MemberRecord;
 use sequoiagw_protocol::MemberState;
 use serde::Deserialize;
@@ -33,6 +34,18 @@
     pub refused_version: Option<u64>,
 }
 
+/// A request that a node holds back, because it crashed several backend servers.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct HeldRequestStatus {
+    /// Digest of the request, as in the logs.
+    pub digest: String,
+    /// Processes of backend servers that it crashed, as in the logs.
+    pub servers: Vec<String>,
+    /// Seconds since this node holds it back.
+    pub held_s: u64,
+}
+
 /// Status of one node.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -57,6 +70,9 @@
     pub members: Vec<MemberStatus>,
     /// Seconds since the last contact with each remote data centre; only bridges have it.
     pub heard_s: BTreeMap<String, u64>,
+    /// Requests that are held back.
+    #[serde(default)]
+    pub held_requests: Vec<HeldRequestStatus>,
     /// Totals of the node's counters.
     pub counters: BTreeMap<String, u64>,
 }
@@ -79,11 +95,20 @@
             heard_s: last_contacts
                 .map(|(data_centre, time)| (data_centre.clone(), (now - *time).as_secs()))
                 .collect(),
+            held_requests: core.held_requests(now).iter().map(held_status).collect(),
             counters: counters.totals(),
         }
     }
 }
 
+fn held_status(held: &HeldRequest) -> HeldRequestStatus {
+    HeldRequestStatus {
+        digest: held.digest.to_string(),
+        servers: held.servers.iter().map(ToString::to_string).collect(),
+        held_s: held.held_for.as_secs(),
+    }
+}
+
 fn member_status(record: &MemberRecord) -> MemberStatus {
     MemberStatus {
         name: record.name.clone(),
--- a/crates/sequoiagw-policy/src/crash_table.rs
+++ b/crates/sequoiagw-policy/src/crash_table.rs
@@ -280,7 +280,8 @@
             .collect()
     }
 
-    fn held_request(&self, digest: RequestDigest, now: Instant) -> Option<HeldRequest> {
+    /// A request that is held back, `None` if it isn't.
+    pub fn held_request(&self, digest: RequestDigest, now: Instant) -> Option<HeldRequest> {
         let suspect = self.suspects.get(&digest)?;
         let held_since = suspect.held_since?;
         let mut crashes: Vec<&ServerCrash> = suspect.counted().collect();
--- a/crates/sequoiagw-telemetry/src/trace_cause.rs
+++ b/crates/sequoiagw-telemetry/src/trace_cause.rs
@@ -74,7 +74,24 @@
             _ => "whether it ran is unknown",
         };
         let owner_failure = self.owner_failure(end.field("request"));
-        format!("{reason}: {help} For this request {run_state}.{owner_failure}")
+        let crashes = self.crashes_of(end.field("request"));
+        format!("{reason}: {help} For this request {run_state}.{crashes}{owner_failure}")
+    }
+
+    /// Describes the crashes because of which a request was held back.
+    fn crashes_of(&self, request: &str) -> String {
+        let mut lines = self.lines.iter();
+        let held = lines.find(|line| line.event == "call_held" && line.field("request") == request);
+        held.map_or_else(String::new, |line| {
+            format!(
+                " The request with digest {} ended the backend processes {} within {} ms, and had \
+                 been held back for {} ms.",
+                line.field("digest"),
+                line.field("servers"),
+                line.field("crash_span_ms"),
+                line.field("held_ms")
+            )
+        })
     }
 
     /// Explains the outcome of a request that the backend server answered. An error status may be
--- a/crates/sequoiagw-telemetry/tests/logs.rs
+++ b/crates/sequoiagw-telemetry/tests/logs.rs
@@ -38,6 +38,24 @@
     assert!(LogLine::parse("worth 0.7 of nothing", "all").is_none());
 }
 
+#[test]
+fn trace_names_the_crashes_for_which_a_request_was_held_back() {
+    let held = "ts=2026-04-24T15:19:02.4Z level=info event=call_held request=a1 digest=0f \
+        servers=a,b,c crash_span_ms=412 held_ms=9000";
+    let refused = REFUSED.replace("backend_broken ran=unknown", "request_held ran=no");
+    let lines = [held, &refused].map(|text| parse_line(text, "node-a"));
+    let cause = RequestTrace::new("a1", lines.to_vec()).cause();
+    for part in [
+        "request_held",
+        "it did not run",
+        "a,b,c",
+        "412 ms",
+        "9000 ms",
+    ] {
+        assert!(cause.contains(part), "{part}: {cause}");
+    }
+}
+
 #[test]
 fn trace_sorts_lines_of_all_nodes_and_names_the_cause() {
     let lines = vec![
