Look for a closed port only after a connection broke, and for 100 ms at most

A refusal that names another request, or no connection at all, is no reason to ask whether the backend server's process has ended. Entries alone remember which requests ran well: owners need it only for requests with records, and each digest costs time.

--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -30,6 +30,8 @@
 
 /// Longest time to connect to a process on the same machine.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Longest time to find out whether the port of a process on the same machine is closed.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Time after which a connection to an unresponsive peer is closed.
 const PEER_TIMEOUT: Duration = Duration::from_secs(5);
 /// Longest time for which a connection may have been idle and still be reused.
@@ -150,7 +152,7 @@
 
     /// Whether the process of the backend server has ended, so that its port is closed.
     async fn has_ended(&self) -> bool {
-        match HttpConnection::connect(self.address, CONNECT_TIMEOUT, PEER_TIMEOUT).await {
+        match HttpConnection::connect(self.address, END_CHECK_TIMEOUT, PEER_TIMEOUT).await {
             Ok(connection) => {
                 self.return_to_pool(connection);
                 false
--- a/crates/sequoiagw-node/src/backend_client.rs
+++ b/crates/sequoiagw-node/src/backend_client.rs
@@ -44,6 +44,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Time limit for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time limit for finding out whether the port of the backend server is closed.
+const END_CHECK_TIMEOUT: Duration = Duration::from_millis(100);
 /// Largest answer body in bytes.
 const MAX_ANSWER_BYTES: usize = 3 * 1024 * 1024;
 /// Status with which a backend server rejects a request under overload, together with
@@ -102,12 +104,6 @@
             let result = timeout_at(deadline, pending)
                 .await
                 .unwrap_or(BackendResult::Aborted);
-            let result = match result {
-                BackendResult::Broken | BackendResult::Truncated if has_ended(&address).await => {
-                    BackendResult::Crashed
-                }
-                result => result,
-            };
             state.borrow_mut().runs.remove(&run);
             let _ = events.send(CoreEvent::RunFinished(run, result));
         });
@@ -141,16 +137,20 @@
         return BackendResult::Refused;
     };
     let Ok(response) = sender.send_request(request).await else {
-        return BackendResult::Broken;
+        return crashed_or(BackendResult::Broken, address).await;
     };
     if is_refusal(&response) {
         // The connection isn't used again: the refusal may be written once more when its request is
         // sent again.
         return read_refusal(&response, &dispatch.request_id, connection_use);
     }
-    let result = read_answer(response).await;
-    return_connection(state, address, sender);
-    result
+    match read_answer(response).await {
+        BackendResult::Truncated => crashed_or(BackendResult::Truncated, address).await,
+        result => {
+            return_connection(state, address, sender);
+            result
+        }
+    }
 }
 
 /// Takes an unused connection that is still usable, or opens a new one.
@@ -181,10 +181,13 @@
     Some((sender, ConnectionUse::First))
 }
 
-/// Whether the process of the backend server has ended, so that its port is closed.
-async fn has_ended(address: &str) -> bool {
-    let connected = timeout(CONNECT_TIMEOUT, TcpStream::connect(address)).await;
-    matches!(connected, Ok(Err(error)) if error.kind() == IoErrorKind::ConnectionRefused)
+/// Result of a run whose connection broke: [`BackendResult::Crashed`] if the process of the backend
+/// server has ended, so that its port is closed, and `otherwise` if not.
+async fn crashed_or(otherwise: BackendResult, address: &str) -> BackendResult {
+    match timeout(END_CHECK_TIMEOUT, TcpStream::connect(address)).await {
+        Ok(Err(error)) if error.kind() == IoErrorKind::ConnectionRefused => BackendResult::Crashed,
+        _ => otherwise,
+    }
 }
 
 fn return_connection(state: &Rc<RefCell<BackendState>>, address: &str, sender: BackendSender) {
--- a/crates/sequoiagw-node/src/crash_monitor.rs
+++ b/crates/sequoiagw-node/src/crash_monitor.rs
@@ -113,7 +113,8 @@
             BackendResult::Crashed => self.on_crash(dispatch, &identity, next_run, now),
             BackendResult::Answered { status, .. } => {
                 self.on_response(run, now);
-                if *status < STATUS_SERVER_ERROR {
+                // Entries remember what ran well; here it only matters for requests with records.
+                if *status < STATUS_SERVER_ERROR && !self.table.is_empty() {
                     for variant in identity.variants() {
                         self.on_ran_well(variant.digest(), now);
                     }
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -182,17 +182,6 @@
         }
     }
 
-    /// The call of a run that hasn't ended.
-    pub fn running_dispatch(&self, run: RunId) -> Option<&CallDispatch> {
-        let call = self.calls.get(self.runs.get(&run)?)?;
-        Some(&call.dispatch)
-    }
-
-    /// Number that the next run gets; later runs have higher ones.
-    pub fn next_run(&self) -> RunId {
-        RunId(self.next_run)
-    }
-
     /// Whether the owner has stopped accepting calls.
     pub fn is_draining(&self) -> bool {
         self.draining
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -270,6 +270,17 @@
         })));
     }
 
+    /// The call of a run that hasn't ended.
+    pub fn running_dispatch(&self, run: RunId) -> Option<&CallDispatch> {
+        let call = self.calls.get(self.runs.get(&run)?)?;
+        Some(&call.dispatch)
+    }
+
+    /// Number that the next run gets; later runs have higher ones.
+    pub fn next_run(&self) -> RunId {
+        RunId(self.next_run)
+    }
+
     /// Handles the result of a run.
     pub fn on_result(&mut self, run: RunId, result: BackendResult, now: Instant) {
         let Some(id) = self.runs.remove(&run) else {
