Bound what nodes send and read to keep full crash tables equal

Read from the code, not seen: tables that are full at every node drop different requests, so their hashes stay different, and each of 50 nodes would send 2,048 records to each watcher twice a second. Copies of a table now take from a budget of 8,192 records, 512 a second; a full table skips large copies. Test full_tables_that_stay_different_are_not_sent_all_the_time.

--- a/crates/sequoiagw-mesh/src/core_crashes.rs
+++ b/crates/sequoiagw-mesh/src/core_crashes.rs
@@ -40,9 +40,11 @@
 
     /// Handles the hash of the crashes that a watcher of the data centre knows of.
     pub(crate) fn on_crash_hash(&mut self, from: NodeId, hash: u64, now: Instant) {
-        if hash != self.calls.crashes.hash() {
-            let records = self.calls.crashes.full_message(true, now);
-            self.send(from, FrameBody::Crashes(records));
+        if hash == self.calls.crashes.hash() {
+            return;
+        }
+        if let Some(message) = self.calls.crashes.full_message(true, now) {
+            self.send(from, FrameBody::Crashes(message));
         }
     }
 
--- a/crates/sequoiagw-mesh/tests/mesh_core.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core.rs
@@ -23,6 +23,7 @@
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PeerFrame;
 use sequoiagw_protocol::RankLevel;
+use sequoiagw_protocol::TableDigest;
 use sequoiagw_store::StoreEra;
 use sequoiagw_store::StoreRevision;
 use support::address;
@@ -374,3 +375,38 @@
         assert_eq!(held_requests(core, now), 1, "{name}");
     }
 }
+
+/// Number of records in the frames that a node sent.
+fn sent_records(core: &mut MeshCore) -> usize {
+    let frames = take_frames(core).into_iter();
+    let counts = frames.map(|(_, frame)| match frame.body {
+        Some(FrameBody::Crashes(message)) => message.records.len(),
+        _ => 0,
+    });
+    counts.sum()
+}
+
+#[tokio::test(start_paused = true)]
+async fn full_tables_that_stay_different_are_not_sent_all_the_time() {
+    let start = Instant::now();
+    let mut core = core_with("c", &NODES, start);
+    let crashes = (0..3000).map(|digest| CrashRecord {
+        digest_high: digest,
+        ..crash_of(1)
+    });
+    receive_crashes(&mut core, "d", crashes.collect(), start);
+    core.take_actions();
+    let mut sent = 0;
+    for step in 0..240 {
+        let now = start + Duration::from_millis(250 * step);
+        let digest = TableDigest {
+            crash_hash: Some(1),
+            ..TableDigest::default()
+        };
+        let frame = PeerFrame::new(NodeId::from_name("a"), BOOT, FrameBody::Digest(digest));
+        core.on_frame(frame, 50, now);
+        sent += sent_records(&mut core);
+    }
+    // 8,192 at once, and 512 in each of 60 seconds.
+    assert!((2048..=8192 + 512 * 60).contains(&sent), "{sent} records");
+}
--- a/crates/sequoiagw-node/src/crash_monitor.rs
+++ b/crates/sequoiagw-node/src/crash_monitor.rs
@@ -19,11 +19,14 @@
 use tracing::info;
 use tracing::warn;
 
+use crate::record_budget::RecordBudget;
 use crate::NodeCounters;
 
 /// Time for which new records are collected before they are sent. The runs that end with one process
 /// end within it.
 const NEWS_DELAY: Duration = Duration::from_millis(5);
+/// Records from which on a message is a copy of a large table. A full table has no use for it.
+const LARGE_COPY_RECORDS: usize = 1024;
 /// Lowest status of a response that counts as a failure of the backend server.
 const STATUS_SERVER_ERROR: u16 = 500;
 
@@ -46,6 +49,7 @@
     news: Vec<CrashRecord>,
     /// When the news is sent.
     news_due: Option<Instant>,
+    sync_budget: RecordBudget,
     counters: NodeCounters,
 }
 
@@ -58,6 +62,7 @@
             ended: None,
             news: Vec::new(),
             news_due: None,
+            sync_budget: RecordBudget::default(),
             counters,
         }
     }
@@ -191,6 +196,10 @@
 
     /// Takes over records from another node; returns those that are new here.
     pub fn merge(&mut self, received: &CrashRecords, now: Instant) -> Vec<CrashRecord> {
+        if received.records.len() >= LARGE_COPY_RECORDS && self.table.is_full() {
+            self.counters.count("crash.copy_skipped");
+            return Vec::new();
+        }
         let new_records = self.table.merge(&received.records, now);
         self.collect_news(now);
         new_records
@@ -219,22 +228,30 @@
         }
     }
 
-    /// Message with all records.
-    pub fn full_message(&self, requests_all: bool, now: Instant) -> CrashRecords {
-        CrashRecords {
-            requests_all,
-            ..self.message(self.table.records(now))
+    /// Message with all records, `None` if so many have been sent lately that it has to wait.
+    pub fn full_message(&mut self, requests_all: bool, now: Instant) -> Option<CrashRecords> {
+        let records = self.table.records(now);
+        if !self.sync_budget.take(records.len(), now) {
+            self.counters.count("crash.sync_deferred");
+            return None;
         }
+        Some(CrashRecords {
+            requests_all,
+            ..self.message(records)
+        })
     }
 
     /// Answer to a message, `None` if none is needed: all records, if the sender requests them or
     /// knows others than this node.
-    pub fn answer_to(&self, received: &CrashRecords, now: Instant) -> Option<CrashRecords> {
+    pub fn answer_to(&mut self, received: &CrashRecords, now: Instant) -> Option<CrashRecords> {
         if received.requests_all {
-            return Some(self.full_message(false, now));
+            return self.full_message(false, now);
         }
         let announces_difference = received.records.is_empty() && received.hash != self.hash();
-        announces_difference.then(|| self.full_message(true, now))
+        if announces_difference {
+            return self.full_message(true, now);
+        }
+        None
     }
 
     /// Hash of all records, 0 without any.
--- a/crates/sequoiagw-node/src/lib.rs
+++ b/crates/sequoiagw-node/src/lib.rs
@@ -31,6 +31,7 @@
 mod node_status;
 mod part_joiner;
 mod problem_body;
+mod record_budget;
 mod reply_table;
 mod request_log;
 mod route_spec;
--- a/crates/sequoiagw-policy/src/crash_table.rs
+++ b/crates/sequoiagw-policy/src/crash_table.rs
@@ -109,6 +109,11 @@
         self.suspects.is_empty()
     }
 
+    /// Whether a further request takes the place of another.
+    pub fn is_full(&self) -> bool {
+        self.suspects.len() >= MAX_SUSPECTS
+    }
+
     /// Whether a request may be sent to a backend server.
     pub fn verdict(&self, digest: RequestDigest) -> CrashVerdict {
         let Some(suspect) = self.suspects.get(&digest) else {
@@ -197,7 +202,7 @@
         if age >= HOLD_TIME {
             return false;
         }
-        if !self.suspects.contains_key(&digest) && self.suspects.len() >= MAX_SUSPECTS {
+        if !self.suspects.contains_key(&digest) && self.is_full() {
             self.forget_oldest();
         }
         let suspect = self.suspects.entry(digest).or_default();
