--- a/review/harness/case_stop.rs
+++ b/review/harness/case_stop.rs
@@ -26,40 +26,40 @@
 
 const PLACES: [Place; 6] = [
     Place {
-        service: "hornos",
-        zone: "nave-a",
+        service: "catalog",
+        zone: "eun-a",
     },
     Place {
-        service: "hornos",
-        zone: "nave-a",
+        service: "catalog",
+        zone: "eun-a",
     },
     Place {
-        service: "hornos",
-        zone: "nave-a",
+        service: "catalog",
+        zone: "eun-a",
     },
     Place {
-        service: "hornos",
-        zone: "nave-b",
+        service: "catalog",
+        zone: "eun-b",
     },
     Place {
-        service: "hornos",
-        zone: "nave-b",
+        service: "catalog",
+        zone: "eun-b",
     },
     Place {
-        service: "hornos",
-        zone: "nave-b",
+        service: "catalog",
+        zone: "eun-b",
     },
 ];
 const ROUTES: [Route; 1] = [Route {
-    name: "lot-cert",
+    name: "catalog-read",
     kind: "idempotent",
-    service: "hornos",
-    timeout_ms: 1500,
-    aim_ms: 600,
+    service: "catalog",
+    timeout_ms: 1200,
+    aim_ms: 300,
 }];
-const BUDGET: Duration = Duration::from_millis(1500);
+const BUDGET: Duration = Duration::from_millis(1200);
 /// Work of a request, which differs from one to the next.
-const WORK_MS: [u64; 3] = [90, 120, 150];
+const WORK_MS: [u64; 3] = [70, 90, 120];
 /// Size of an answer: the largest of the sheet.
 const ANSWER_BYTES: usize = 30_000;
 /// Requests that a consumer has on its way at once.
@@ -192,14 +192,14 @@
             && platform.gives_work(0)
             && !done.load(Ordering::SeqCst)
         {
-            let id = new_id("lot-cert");
+            let id = new_id("catalog-read");
             record.line(&format!("consumer sends {id}"));
             let work_ms = WORK_MS[id
                 .len()
                 .wrapping_add(usize::from(id.as_bytes()[id.len() - 1]))
                 % WORK_MS.len()];
             let request = format!(
-                "GET /lot-cert/{ANSWER_BYTES}/{work_ms} HTTP/1.1\r\nHost: {HOST}\r\nX-Sequoiagw-Attempt-Id: {id}\r\nX-Sequoiagw-Deadline-Ms: {}\r\n\r\n",
+                "GET /catalog-read/{ANSWER_BYTES}/{work_ms} HTTP/1.1\r\nHost: {HOST}\r\nX-Sequoiagw-Attempt-Id: {id}\r\nX-Sequoiagw-Deadline-Ms: {}\r\n\r\n",
                 BUDGET.as_millis()
             );
             open.push((id, Instant::now()));
--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -74,7 +74,7 @@
         let zones: String = self
             .zones
             .iter()
-            .map(|zone| format!("{zone} = \"araucania\"\n"))
+            .map(|zone| format!("{zone} = \"region-1\"\n"))
             .collect();
         format!(
             r#"nodeName = "{name}"
@@ -83,7 +83,7 @@
 serves = ["sidecar"]
 ip = "{ip}"
 zone = "{zone}"
-region = "araucania"
+region = "region-1"
 internalPortRange = [{first},{last}]
 seeds = []
 bootstrap = {bootstrap}
