--- a/review/harness/case_departure.rs
+++ b/review/harness/case_departure.rs
@@ -15,36 +15,36 @@
 
 const PLACES: [Place; 6] = [
     Place {
-        service: "caja",
-        zone: "nave-a",
+        service: "orders",
+        zone: "eun-a",
     },
     Place {
-        service: "caja",
-        zone: "nave-a",
+        service: "orders",
+        zone: "eun-a",
     },
     Place {
-        service: "hornos",
-        zone: "nave-a",
+        service: "warehouse",
+        zone: "eun-a",
     },
     Place {
-        service: "caja",
-        zone: "nave-b",
+        service: "orders",
+        zone: "eun-b",
     },
     Place {
-        service: "caja",
-        zone: "nave-b",
+        service: "orders",
+        zone: "eun-b",
     },
     Place {
-        service: "hornos",
-        zone: "nave-b",
+        service: "warehouse",
+        zone: "eun-b",
     },
 ];
 const ROUTES: [Route; 1] = [Route {
-    name: "deposit",
+    name: "place-order",
     kind: "non_idempotent",
-    service: "caja",
-    timeout_ms: 1200,
-    aim_ms: 500,
+    service: "orders",
+    timeout_ms: 800,
+    aim_ms: 250,
 }];
 /// Time for which the store is down.
 const OUTAGE: Duration = Duration::from_millis(4500);
@@ -106,9 +106,9 @@
     while Instant::now() < ends {
         let attempt = Attempt {
             method: "PUT",
-            path: "/deposit/20".to_owned(),
-            id: new_id("deposit"),
-            budget: Duration::from_millis(1200),
+            path: "/place-order/20".to_owned(),
+            id: new_id("place-order"),
+            budget: Duration::from_millis(800),
             body: Vec::new(),
         };
         send(outbound, &attempt, record);
--- a/review/harness/case_upload.rs
+++ b/review/harness/case_upload.rs
@@ -23,30 +23,30 @@
 
 const PLACES: [Place; 4] = [
     Place {
-        service: "caja",
-        zone: "nave-a",
+        service: "backorders",
+        zone: "eun-a",
     },
     Place {
-        service: "caja",
-        zone: "nave-a",
+        service: "backorders",
+        zone: "eun-a",
     },
     Place {
-        service: "caja",
-        zone: "nave-b",
+        service: "backorders",
+        zone: "eun-b",
     },
     Place {
-        service: "caja",
-        zone: "nave-b",
+        service: "backorders",
+        zone: "eun-b",
     },
 ];
 const ROUTES: [Route; 1] = [Route {
-    name: "deposit",
+    name: "backorder",
     kind: "non_idempotent",
-    service: "caja",
-    timeout_ms: 1200,
-    aim_ms: 500,
+    service: "backorders",
+    timeout_ms: 800,
+    aim_ms: 800,
 }];
-const BUDGET: Duration = Duration::from_millis(1200);
+const BUDGET: Duration = Duration::from_millis(1500);
 /// Consumers of the machine that keep their connections, and the work of their requests.
 const KEPT: usize = 10;
 const KEPT_WORK_MS: u64 = 250;
@@ -138,8 +138,8 @@
 fn attempt(work_ms: u64, bytes: usize) -> Attempt {
     Attempt {
         method: "PUT",
-        path: format!("/deposit/{work_ms}"),
-        id: new_id("deposit"),
+        path: format!("/backorder/{work_ms}"),
+        id: new_id("backorder"),
         budget: BUDGET,
         body: vec![b'd'; bytes],
     }
--- a/review/harness/case_watch.rs
+++ b/review/harness/case_watch.rs
@@ -17,44 +17,44 @@
 
 const PLACES: [Place; 6] = [
     Place {
-        service: "caja",
-        zone: "nave-a",
+        service: "orders",
+        zone: "eun-a",
     },
     Place {
-        service: "hornos",
-        zone: "nave-a",
+        service: "warehouse",
+        zone: "eun-a",
     },
     Place {
-        service: "caja",
-        zone: "nave-a",
+        service: "orders",
+        zone: "eun-a",
     },
     Place {
-        service: "caja",
-        zone: "nave-b",
+        service: "orders",
+        zone: "eun-b",
     },
     Place {
-        service: "hornos",
-        zone: "nave-b",
+        service: "warehouse",
+        zone: "eun-b",
     },
     Place {
-        service: "hornos",
-        zone: "nave-b",
+        service: "warehouse",
+        zone: "eun-b",
     },
 ];
-const DEPOSIT: Route = Route {
-    name: "deposit",
+const PLACE_ORDER: Route = Route {
+    name: "place-order",
     kind: "non_idempotent",
-    service: "caja",
-    timeout_ms: 1200,
-    aim_ms: 500,
+    service: "orders",
+    timeout_ms: 800,
+    aim_ms: 250,
 };
 /// The route that the new version adds.
-const RELEASE: Route = Route {
-    name: "release",
+const RESTOCK: Route = Route {
+    name: "restock",
     kind: "non_idempotent",
-    service: "hornos",
-    timeout_ms: 1200,
-    aim_ms: 500,
+    service: "warehouse",
+    timeout_ms: 800,
+    aim_ms: 250,
 };
 /// Time without a byte after which the path between machines and store loses track of a connection.
 const IDLE: Duration = Duration::from_secs(1);
@@ -66,7 +66,7 @@
 
 pub fn run(trouble: bool, record: &Record) -> std::io::Result<Verdict> {
     let mut proxy = None;
-    let fleet = Fleet::start_behind(&PLACES, &[DEPOSIT], record, |store, ip| {
+    let fleet = Fleet::start_behind(&PLACES, &[PLACE_ORDER], record, |store, ip| {
         let started = Proxy::start(ip, store)?;
         let address = started.address;
         proxy = Some(started);
@@ -85,7 +85,7 @@
     thread::sleep(STABLE_WINDOW + Duration::from_secs(1));
     fleet
         .store
-        .put("op/config", &config(9, &[DEPOSIT, RELEASE]));
+        .put("op/config", &config(9, &[PLACE_ORDER, RESTOCK]));
     let acknowledged = Instant::now();
     record.line("the store acknowledges version r9, which adds a route");
     let mut old = vec![Vec::new(); PLACES.len()];
@@ -94,9 +94,9 @@
         for (index, node) in fleet.nodes.iter().enumerate() {
             let attempt = Attempt {
                 method: "PUT",
-                path: "/release/20".to_owned(),
-                id: new_id("release"),
-                budget: Duration::from_millis(1200),
+                path: "/restock/20".to_owned(),
+                id: new_id("restock"),
+                budget: Duration::from_millis(800),
                 body: Vec::new(),
             };
             let sent = acknowledged.elapsed();
--- a/review/harness/client.rs
+++ b/review/harness/client.rs
@@ -47,7 +47,7 @@
     }
 }
 
-pub const HOST: &str = "forge.example";
+pub const HOST: &str = "fleece.example";
 
 /// Sends an attempt on a new connection and waits for its end.
 pub fn send(node: SocketAddr, attempt: &Attempt, record: &Record) -> Outcome {
@@ -67,6 +67,7 @@
         ("X-Sequoiagw-Deadline-Ms", budget.as_str()),
     ];
     let deadline = Instant::now() + attempt.budget + PATIENCE;
+    connection.send_until = Some(Instant::now() + attempt.budget);
     record.line(&format!(
         "consumer sends {} {} {}",
         attempt.id, attempt.method, attempt.path
--- a/review/harness/http.rs
+++ b/review/harness/http.rs
@@ -10,6 +10,9 @@
 /// Largest head that is read, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// Part of a body that is sent at once, in bytes.
+const SENT_PIECE_BYTES: usize = 64 * 1024;
+
 /// Head and body of a request or a response.
 #[derive(Clone, Debug, Default)]
 pub struct Message {
@@ -48,6 +51,8 @@
 /// A connection with the bytes that were read beyond the last message.
 pub struct Connection {
     pub stream: TcpStream,
+    /// Time after which nothing more of a request is sent.
+    pub send_until: Option<Instant>,
     rest: Vec<u8>,
 }
 
@@ -56,6 +61,7 @@
         let _ = stream.set_nodelay(true);
         Self {
             stream,
+            send_until: None,
             rest: Vec::new(),
         }
     }
@@ -134,7 +140,13 @@
         }
         out.push_str("\r\n");
         self.stream.write_all(out.as_bytes())?;
-        self.stream.write_all(body)
+        for piece in body.chunks(SENT_PIECE_BYTES) {
+            if self.send_until.is_some_and(|end| Instant::now() >= end) {
+                return Err(std::io::ErrorKind::TimedOut.into());
+            }
+            self.stream.write_all(piece)?;
+        }
+        Ok(())
     }
 
     /// Sends a response.
--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -90,9 +90,9 @@
 lossCounts = false
 discovery = "local"
 entry = "local"
-heartbeatIntervalMs = 1500
+heartbeatIntervalMs = 870
 contracts = ["base","drain","config","cost","retry","recover","platform"]
-bounds = ["seedLagS=3","addressReuseS=2","stableWindowMs=3000","ackTimeoutMs=4000","catchUpS=4","drainTimeoutMs=2000","gracePeriodS=6","lossSlackMs=200","configPropagationMs=2000","rollbackSlackMs=250","maxExtensionMs=5000","retryBudgetRatio=0.2","budgetWindowS=10","retryBudgetExtra=56","recoveryS=15"]
+bounds = ["seedLagS=3","addressReuseS=2","stableWindowMs=3000","ackTimeoutMs=4000","catchUpS=4","drainTimeoutMs=2000","gracePeriodS=6","lossSlackMs=200","configPropagationMs=2000","rollbackSlackMs=250","maxExtensionMs=5000","retryBudgetRatio=0.2","budgetWindowS=10","retryBudgetExtra=58","recoveryS=15"]
 appAddress = "{ip}:{TARGET_PORT}"
 service = "{service}"
 [zones]
--- a/review/harness/target.rs
+++ b/review/harness/target.rs
@@ -22,10 +22,10 @@
 use crate::record::Record;
 
 /// Interval between two check-ins, as in the settings of the nodes.
-pub const CHECK_IN_INTERVAL: Duration = Duration::from_millis(1500);
+pub const CHECK_IN_INTERVAL: Duration = Duration::from_millis(870);
 /// Time within which a check-in has to be answered.
 const CHECK_IN_TIMEOUT: Duration = Duration::from_secs(1);
-const SLOTS: u64 = 12;
+const SLOTS: u64 = 18;
 
 /// One run of a request.
 #[derive(Clone, Debug)]
