--- a/review/harness/node.rs
+++ b/review/harness/node.rs
@@ -4,6 +4,7 @@
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::SocketAddr;
+use std::os::unix::process::CommandExt;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -26,6 +27,14 @@
 const CONTROL_PORT: u16 = 8306;
 const INTERNAL_PORTS: (u16, u16) = (7620, 7635);
 
+/// Lets the system kill a process when the one that started it ends.
+const PR_SET_PDEATHSIG: i32 = 1;
+const SIGKILL: u64 = 9;
+
+extern "C" {
+    fn prctl(option: i32, ...) -> i32;
+}
+
 /// What the platform writes into the settings of a node.
 #[derive(Clone)]
 pub struct Settings {
@@ -155,7 +164,15 @@
             .open(self.folder.join(format!("{}.log", self.settings.name)))?;
         let command = deploy_command()?;
         let mut words = command.split(' ');
-        let child = Command::new(words.next().unwrap_or(""))
+        let mut command = Command::new(words.next().unwrap_or(""));
+        // SAFETY: the call only sets an attribute of the new process.
+        unsafe {
+            command.pre_exec(|| {
+                prctl(PR_SET_PDEATHSIG, SIGKILL);
+                Ok(())
+            });
+        }
+        let child = command
             .args(words)
             .env_clear()
             .env("PATH", std::env::var_os("PATH").unwrap_or_default())
