--- a/crates/sequoiagw-mesh/src/mesh_version.rs
+++ b/crates/sequoiagw-mesh/src/mesh_version.rs
@@ -145,6 +145,7 @@
                 .collect(),
             removed: removed.unwrap_or_default(),
             limits: Some(LimitsRecord::from(&self.limits)),
+            ..VersionDelta::default()
         }
     }
 
--- a/crates/sequoiagw-mesh/src/version_records.rs
+++ b/crates/sequoiagw-mesh/src/version_records.rs
@@ -47,6 +47,7 @@
             latency_target_us: whole_micros(route.latency_target),
             level: u32::from(route.level.get()),
             max_attempts: route.max_attempts,
+            public: false,
         }
     }
 }
--- a/crates/sequoiagw-node/src/node_counters.rs
+++ b/crates/sequoiagw-node/src/node_counters.rs
@@ -124,5 +124,7 @@
         FrameKind::Version => "bytes.version",
         FrameKind::Call => "bytes.call",
         FrameKind::Claim => "bytes.claim",
+        FrameKind::Quota => "bytes.quota",
+        FrameKind::Rollout => "bytes.rollout",
     }
 }
--- a/crates/sequoiagw-protocol/src/error_kind.rs
+++ b/crates/sequoiagw-protocol/src/error_kind.rs
@@ -121,8 +121,14 @@
     NodeStopping = 22 => 503, No, false, "node_stopping", "The node is stopping; retry at another node.";
     /// The request has crashed several backend servers and is held back.
     RequestHeld = 23 => 503, No, false, "request_held", "This request crashed several backend servers and is held back for minutes; correct the request or the backend server.";
-        /// The node has no memory for the request's body.
+    /// The node has no memory for the request's body.
     BodyUnbuffered = 24 => 503, No, false, "body_unbuffered", "The node has no memory for a body of this size now; retry after the given time.";
+    /// The request carries a key that no workspace holds.
+    ApiKeyUnknown = 25 => 401, No, false, "api_key_unknown", "No workspace holds this key; check it, or ask for a new one.";
+    /// The workspace has used up its quota.
+    QuotaExceeded = 26 => 429, No, false, "quota_exceeded", "The workspace has used up its quota; retry after the given time.";
+    /// A roll-out doesn't allow requests to the target's software version now.
+    VersionHeld = 27 => 503, No, true, "version_held", "The target's software version gets no requests now; retry.";
 }
 
 impl std::fmt::Display for ErrorKind {
--- a/crates/sequoiagw-protocol/src/lib.rs
+++ b/crates/sequoiagw-protocol/src/lib.rs
@@ -12,7 +12,9 @@
 mod member_message;
 mod node_identity;
 mod peer_frame;
+mod quota_message;
 mod rank_level;
+mod rollout_message;
 mod version_message;
 
 pub use call_message::*;
@@ -38,5 +40,8 @@
 pub use peer_frame::FrameKind;
 pub use peer_frame::PeerFrame;
 pub use peer_frame::FRAME_KINDS;
+pub use quota_message::QuotaGrant;
+pub use quota_message::QuotaRequest;
 pub use rank_level::RankLevel;
+pub use rollout_message::*;
 pub use version_message::*;
--- a/crates/sequoiagw-protocol/src/peer_frame.rs
+++ b/crates/sequoiagw-protocol/src/peer_frame.rs
@@ -27,6 +27,11 @@
 use crate::NodeId;
 use crate::ProbeAnswer;
 use crate::ProbeMessage;
+use crate::QuotaGrant;
+use crate::QuotaRequest;
+use crate::RolloutTableMessage;
+use crate::RunStatsReply;
+use crate::RunStatsRequest;
 use crate::TableDigest;
 use crate::TableRecords;
 use crate::VersionActivate;
@@ -45,7 +50,7 @@
     /// Message in the frame; absent if the receiver doesn't support it.
     #[prost(
         oneof = "FrameBody",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 40, 41"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 40, 41, 50, 51, 52"
     )]
     pub body: Option<FrameBody>,
 }
@@ -143,12 +148,27 @@
     /// Cancellation of a call.
     #[prost(message, tag = "33")]
     Cancel(CallCancel),
+    /// Request for permits of a workspace.
+    #[prost(message, tag = "34")]
+    QuotaRequest(QuotaRequest),
+    /// Permits of a workspace.
+    #[prost(message, tag = "35")]
+    QuotaGrant(QuotaGrant),
     /// Claims of idempotency keys.
     #[prost(message, tag = "40")]
     Claim(ClaimRequest),
     /// Result of claims.
     #[prost(message, tag = "41")]
     ClaimReply(ClaimReply),
+    /// Records of roll-outs, or a request for them.
+    #[prost(message, tag = "50")]
+    Rollouts(RolloutTableMessage),
+    /// Request for what a node has seen of its backend server.
+    #[prost(message, tag = "51")]
+    RunStatsRequest(RunStatsRequest),
+    /// What a node has seen of its backend server.
+    #[prost(message, tag = "52")]
+    RunStats(RunStatsReply),
 }
 
 impl FrameBody {
@@ -176,6 +196,8 @@
             | Self::Query(_)
             | Self::Cancel(_) => FrameKind::Call,
             Self::Claim(_) | Self::ClaimReply(_) => FrameKind::Claim,
+            Self::QuotaRequest(_) | Self::QuotaGrant(_) => FrameKind::Quota,
+            Self::Rollouts(_) | Self::RunStatsRequest(_) | Self::RunStats(_) => FrameKind::Rollout,
         }
     }
 }
@@ -200,6 +222,10 @@
     Call,
     /// Claims of idempotency keys and their results.
     Claim,
+    /// Permits of workspaces and the requests for them.
+    Quota,
+    /// Records of roll-outs, and what their drivers collect.
+    Rollout,
 }
 
 /// All kinds of traffic.
@@ -210,4 +236,6 @@
     FrameKind::Version,
     FrameKind::Call,
     FrameKind::Claim,
+    FrameKind::Quota,
+    FrameKind::Rollout,
 ];
--- a/crates/sequoiagw-protocol/src/version_message.rs
+++ b/crates/sequoiagw-protocol/src/version_message.rs
@@ -46,6 +46,29 @@
     /// Maximum number of targets to which one request is sent.
     #[prost(uint32, tag = "9")]
     pub max_attempts: u32,
+    /// Whether callers need no key.
+    #[prost(bool, tag = "10")]
+    pub public: bool,
+}
+
+/// A workspace: callers that share keys, a rank and a quota.
+#[derive(Clone, Message, PartialEq)]
+pub struct WorkspaceRecord {
+    /// Name, unique within a version.
+    #[prost(string, tag = "1")]
+    pub name: String,
+    /// Keys of the callers. They never appear in logs or metrics.
+    #[prost(string, repeated, tag = "2")]
+    pub keys: Vec<String>,
+    /// Rank level of the requests, which replaces the route's; absent to keep the route's.
+    #[prost(uint32, optional, tag = "3")]
+    pub level: Option<u32>,
+    /// Requests per second that the fleet accepts, 0 for no limit.
+    #[prost(double, tag = "4")]
+    pub rate_per_s: f64,
+    /// Requests beyond the rate that the fleet accepts at once.
+    #[prost(double, tag = "5")]
+    pub burst: f64,
 }
 
 /// Limits on the requests and connections of callers.
@@ -86,4 +109,10 @@
     /// Limits on the requests and connections of callers.
     #[prost(message, optional, tag = "6")]
     pub limits: Option<LimitsRecord>,
+    /// Workspaces that are added or changed.
+    #[prost(message, repeated, tag = "7")]
+    pub workspaces: Vec<WorkspaceRecord>,
+    /// Names of the workspaces that are removed.
+    #[prost(string, repeated, tag = "8")]
+    pub removed_workspaces: Vec<String>,
 }
