--- a/crates/sequoiagw-node/src/core_messages.rs
+++ b/crates/sequoiagw-node/src/core_messages.rs
@@ -77,9 +77,16 @@
                 self.send(from, FrameBody::FleetReport(report));
             }
             FrameBody::FleetReport(report) => self.actions.push(CoreAction::Report(report)),
-            // Compiled versions and departures of backend servers are sent only between nodes that follow
-            // the platform's own configuration.
-            FrameBody::VersionDelta(_) | FrameBody::Departure(_) | FrameBody::DepartureReply(_) => {
+            // Compiled versions, departures of backend servers, quotas and roll-outs are sent only
+            // between nodes that follow the platform's own configuration.
+            FrameBody::VersionDelta(_)
+            | FrameBody::Departure(_)
+            | FrameBody::DepartureReply(_)
+            | FrameBody::QuotaRequest(_)
+            | FrameBody::QuotaGrant(_)
+            | FrameBody::Rollouts(_)
+            | FrameBody::RunStatsRequest(_)
+            | FrameBody::RunStats(_) => {
                 self.counters.count("frame.unexpected");
             }
             // Parts are joined by the links.
