--- a/crates/sequoiagw-mesh/src/core_watchers.rs
+++ b/crates/sequoiagw-mesh/src/core_watchers.rs
@@ -41,6 +41,7 @@
             sender: Some(own),
             version: self.active_version_number(),
             crash_hash: Some(self.calls.crashes.hash()),
+            rollout_hash: None,
         };
         self.announce_crashes();
         self.broadcast_to_data_centre(&FrameBody::Digest(digest), now);
--- a/crates/sequoiagw-mesh/tests/mesh_core.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core.rs
@@ -401,6 +401,7 @@
         let now = start + Duration::from_millis(250 * step);
         let digest = TableDigest {
             crash_hash: Some(1),
+            rollout_hash: None,
             ..TableDigest::default()
         };
         let frame = PeerFrame::new(NodeId::from_name("a"), BOOT, FrameBody::Digest(digest));
--- a/crates/sequoiagw-protocol/src/error_kind.rs
+++ b/crates/sequoiagw-protocol/src/error_kind.rs
@@ -129,6 +129,8 @@
     QuotaExceeded = 26 => 429, No, false, "quota_exceeded", "The workspace has used up its quota; retry after the given time.";
     /// A roll-out doesn't allow requests to the target's software version now.
     VersionHeld = 27 => 503, No, true, "version_held", "The target's software version gets no requests now; retry.";
+    /// The node that counts the workspace's quota didn't answer in time.
+    QuotaUnavailable = 28 => 503, No, false, "quota_unavailable", "The workspace's quota can't be checked now; retry after the given time.";
 }
 
 impl std::fmt::Display for ErrorKind {
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -163,6 +163,9 @@
     /// another way.
     #[prost(fixed64, optional, tag = "4")]
     pub crash_hash: Option<u64>,
+    /// Hash of the records of roll-outs that the sender knows of; absent where roll-outs are off.
+    #[prost(fixed64, optional, tag = "5")]
+    pub rollout_hash: Option<u64>,
 }
 
 /// Records of the member table.
