--- a/crates/sequoiagw-node/src/caller_server.rs
+++ b/crates/sequoiagw-node/src/caller_server.rs
@@ -8,16 +8,10 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::header::HeaderValue;
-use hyper::header::CONTENT_TYPE;
-use hyper::header::RETRY_AFTER;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper::Request;
-use hyper::Response;
-use hyper::StatusCode;
 use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use rand::Rng;
@@ -26,10 +20,7 @@
 use sequoiagw_http::BufferBudget;
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
-use sequoiagw_policy::CallerReply;
 use sequoiagw_protocol::ErrorKind;
-use sequoiagw_protocol::RunState;
-use sequoiagw_protocol::ServedAnswer;
 use sequoiagw_telemetry::LatencySeries;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -44,20 +35,20 @@
 use crate::body_reader::read_body;
 use crate::body_reader::BodyError;
 use crate::call_spec;
+use crate::caller_response::refusal_response;
+use crate::caller_response::reply_response;
+use crate::caller_response::with_request_id;
+use crate::caller_response::CallerResponse;
 use crate::http_headers::forwarded_headers;
 use crate::http_headers::parse_urgency;
 use crate::http_headers::CALLER_HEADER;
 use crate::http_headers::IDEMPOTENCY_KEY_HEADER;
 use crate::http_headers::PRIORITY_HEADER;
-use crate::http_headers::RAN_HEADER;
-use crate::http_headers::REPLAYED_HEADER;
 use crate::http_headers::REQUEST_ID_HEADER;
 use crate::http_headers::TIMEOUT_HEADER;
 use crate::outcome_name;
-use crate::problem_body::PROBLEM_MEDIA_TYPE;
 use crate::NodeCounters;
 use crate::NodeHandle;
-use crate::ProblemBody;
 
 /// Time within which a connection has to send the whole head of a request.
 const REQUEST_HEAD_TIMEOUT: Duration = Duration::from_secs(10);
@@ -73,16 +64,10 @@
 const MAX_IDEMPOTENCY_KEY_BYTES: usize = 128;
 /// Longest timeout that a caller may request, in milliseconds.
 const MAX_REQUESTED_TIMEOUT_MS: u64 = 600_000;
-/// Value of `Retry-After` on 503 responses, in seconds.
-const RETRY_AFTER_SECONDS: &str = "1";
-/// The same for a request that is held back.
-const HELD_RETRY_AFTER_SECONDS: &str = "60";
 /// Delay after a failed accept, so that a lasting error, such as no free file descriptor,
 /// doesn't cause a busy loop.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(50);
 
-type CallerResponse = Response<Full<Bytes>>;
-
 /// Refusal of a request before its call starts; `detail` replaces the standard help text of
 /// the error kind.
 struct RequestRefusal {
@@ -359,55 +344,3 @@
         Err(_) => Err(invalid_request("the body did not arrive within 10 s")),
     }
 }
-
-fn reply_response(reply: CallerReply) -> CallerResponse {
-    match reply.outcome {
-        Ok(answer) => served_response(answer),
-        Err(kind) => refusal_response(kind, None),
-    }
-}
-
-fn served_response(answer: ServedAnswer) -> CallerResponse {
-    let status = u16::try_from(answer.status).unwrap_or(502);
-    let mut builder = Response::builder().status(status).header(RAN_HEADER, "yes");
-    if answer.replayed {
-        builder = builder.header(REPLAYED_HEADER, "true");
-    }
-    for field in &answer.headers {
-        builder = builder.header(field.name.as_str(), field.value.as_str());
-    }
-    builder
-        .body(Full::new(answer.body))
-        .unwrap_or_else(|_| refusal_response(ErrorKind::BackendBroken, None))
-}
-
-fn refusal_response(kind: ErrorKind, detail: Option<&str>) -> CallerResponse {
-    let rule = kind.rule();
-    let body = ProblemBody::for_kind(kind, detail).to_json();
-    let mut response = Response::new(Full::new(Bytes::from(body)));
-    *response.status_mut() =
-        StatusCode::from_u16(rule.status).unwrap_or(StatusCode::SERVICE_UNAVAILABLE);
-    let headers = response.headers_mut();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static(PROBLEM_MEDIA_TYPE));
-    let run_state = match rule.ran {
-        RunState::No => "no",
-        RunState::Unknown => "unknown",
-        RunState::Yes => "yes",
-    };
-    headers.insert(RAN_HEADER, HeaderValue::from_static(run_state));
-    if rule.status == 503 {
-        let seconds = match kind {
-            ErrorKind::RequestHeld => HELD_RETRY_AFTER_SECONDS,
-            _ => RETRY_AFTER_SECONDS,
-        };
-        headers.insert(RETRY_AFTER, HeaderValue::from_static(seconds));
-    }
-    response
-}
-
-fn with_request_id(mut response: CallerResponse, request_id: &str) -> CallerResponse {
-    if let Ok(value) = HeaderValue::from_str(request_id) {
-        response.headers_mut().insert(REQUEST_ID_HEADER, value);
-    }
-    response
-}
--- a/crates/sequoiagw-node/src/lib.rs
+++ b/crates/sequoiagw-node/src/lib.rs
@@ -11,6 +11,7 @@
 mod backend_notice;
 mod body_reader;
 mod call_machines;
+mod caller_response;
 mod caller_server;
 mod core_action;
 mod core_changes;
