Versions carry workspaces

WorkspaceRecord carries digests instead of the keys, so no node but those that parse the configuration has a key in memory.

--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`MeshCore`] is the state machine of the node and does no I/O; [`MeshHandle`] runs it on the
 //! current thread's runtime. Names and formats of the platform are behind [`PlatformFormat`].
 
+mod api_key_digest;
 mod call_log;
 mod caller_server;
 mod connection_acceptor;
@@ -43,7 +44,10 @@
 mod traffic_splitter;
 mod version_records;
 mod watcher_monitor;
+mod workspace;
+mod workspace_table;
 
+pub use api_key_digest::ApiKeyDigest;
 pub use caller_server::CallerServer;
 pub use departure_holders::DepartureHolders;
 pub use departure_holders::DepartureState;
@@ -86,3 +90,5 @@
 pub use traffic_splitter::TrafficSplitter;
 pub use version_records::DeltaError;
 pub use watcher_monitor::WatcherMonitor;
+pub use workspace::KeyedWorkspace;
+pub use workspace::Workspace;
--- a/crates/sequoiagw-mesh/src/mesh_version.rs
+++ b/crates/sequoiagw-mesh/src/mesh_version.rs
@@ -13,7 +13,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::workspace_table::WorkspaceTable;
+use crate::ApiKeyDigest;
 use crate::DeltaError;
+use crate::KeyedWorkspace;
+use crate::Workspace;
 
 /// Service that receives a weighted share of a route's traffic.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -45,6 +49,8 @@
     pub level: RankLevel,
     /// Number of targets that one request may be sent to, at least 1.
     pub max_attempts: u32,
+    /// Whether callers need no key.
+    pub public: bool,
 }
 
 /// Limits on callers' requests and connections.
@@ -78,21 +84,23 @@
     digest: u64,
 }
 
-/// A configuration version: its routes by name, and indexed by host for look-ups.
+/// A configuration version: its routes by name, and indexed by host for look-ups, and its
+/// workspaces.
 #[derive(Clone, Debug)]
 pub struct MeshVersion {
     /// Number; later versions have higher ones.
     pub number: u64,
     /// Limits on callers' requests and connections.
     pub limits: CallerLimits,
-    /// Digest of number, limits and all routes.
+    /// Digest of number, limits, all routes and all workspaces.
     pub digest: u64,
     routes: BTreeMap<String, DigestedRoute>,
     hosts: HashMap<String, Vec<Rc<MeshRoute>>>,
+    workspaces: Rc<WorkspaceTable>,
 }
 
 impl MeshVersion {
-    /// Compiles a version from its routes and limits.
+    /// Compiles a version without workspaces from its routes and limits.
     pub fn new(number: u64, routes: Vec<MeshRoute>, limits: CallerLimits) -> Self {
         let by_name = routes.into_iter().map(|route| {
             let name = route.name.clone();
@@ -101,6 +109,20 @@
         Self::compile(number, by_name.collect(), limits)
     }
 
+    /// Sets the workspaces. Of several workspaces with the same name the last one counts; of
+    /// several workspaces with the same key the first by name keeps it, and the others are logged.
+    #[must_use]
+    pub fn with_workspaces(self, workspaces: Vec<KeyedWorkspace>) -> Self {
+        self.with_table(WorkspaceTable::new(workspaces))
+    }
+
+    fn with_table(mut self, workspaces: WorkspaceTable) -> Self {
+        self.digest ^= self.workspaces.digest() ^ workspaces.digest();
+        self.workspaces = Rc::new(workspaces);
+        self
+    }
+
+    /// Compiles a version without workspaces.
     fn compile(number: u64, routes: BTreeMap<String, DigestedRoute>, limits: CallerLimits) -> Self {
         let mut hosts: HashMap<String, Vec<Rc<MeshRoute>>> = HashMap::new();
         let mut digest = xxh3_64_with_seed(&LimitsRecord::from(&limits).encode_to_vec(), number);
@@ -121,6 +143,7 @@
             digest,
             routes,
             hosts,
+            workspaces: Rc::default(),
         }
     }
 
@@ -136,7 +159,7 @@
             let missing = names.filter(|name| !self.routes.contains_key(*name));
             missing.cloned().collect()
         });
-        VersionDelta {
+        let mut delta = VersionDelta {
             base: base.map_or(0, |base| base.number),
             number: self.number,
             digest: self.digest,
@@ -146,7 +169,10 @@
             removed: removed.unwrap_or_default(),
             limits: Some(LimitsRecord::from(&self.limits)),
             ..VersionDelta::default()
-        }
+        };
+        let base_workspaces = base.map(|base| &*base.workspaces);
+        self.workspaces.write_delta(base_workspaces, &mut delta);
+        delta
     }
 
     /// Builds the version that a delta produces from `base`; the base stays as it is. A whole
@@ -171,7 +197,9 @@
             routes.insert(record.name.clone(), DigestedRoute::new(record.into()));
         }
         let limits = delta.limits.as_ref().map(CallerLimits::from);
+        let workspaces = WorkspaceTable::apply(base.map(|base| &*base.workspaces), delta);
         let version = Self::compile(delta.number, routes, limits.unwrap_or_default());
+        let version = version.with_table(workspaces);
         if version.digest != delta.digest {
             return Err(DeltaError::DigestMismatch {
                 number: delta.number,
@@ -188,6 +216,16 @@
         let routes = self.hosts.get(&name.to_ascii_lowercase())?;
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
+
+    /// Whether the version has workspaces, so that callers need keys.
+    pub fn has_workspaces(&self) -> bool {
+        !self.workspaces.is_empty()
+    }
+
+    /// Workspace that holds a key.
+    pub fn find_workspace(&self, key: &str) -> Option<&Rc<Workspace>> {
+        self.workspaces.find(&ApiKeyDigest::of_key(key))
+    }
 }
 
 impl DigestedRoute {
--- a/crates/sequoiagw-mesh/src/version_records.rs
+++ b/crates/sequoiagw-mesh/src/version_records.rs
@@ -47,7 +47,7 @@
             latency_target_us: whole_micros(route.latency_target),
             level: u32::from(route.level.get()),
             max_attempts: route.max_attempts,
-            public: false,
+            public: route.public,
         }
     }
 }
@@ -68,6 +68,7 @@
             latency_target: Duration::from_micros(record.latency_target_us),
             level: RankLevel::new(record.level.min(u32::from(u8::MAX)) as u8),
             max_attempts: record.max_attempts,
+            public: record.public,
         }
     }
 }
--- /dev/null
+++ b/crates/sequoiagw-mesh/src/workspace_table.rs
@@ -0,0 +1,132 @@
+//! Workspaces of a configuration version by name, and indexed by key for look-ups.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use prost::Message;
+use sequoiagw_protocol::VersionDelta;
+use sequoiagw_protocol::WorkspaceRecord;
+use tracing::warn;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::ApiKeyDigest;
+use crate::KeyedWorkspace;
+use crate::Workspace;
+
+/// Seed of the workspaces' digests, so that a workspace and a route with equal encodings have
+/// different digests.
+const DIGEST_SEED: u64 = 1;
+
+/// A workspace with the digest of its encoded record.
+#[derive(Clone, Debug)]
+struct DigestedWorkspace {
+    keyed: Rc<KeyedWorkspace>,
+    digest: u64,
+}
+
+/// Workspace that holds a key.
+#[derive(Clone, Debug)]
+struct KeyHolder {
+    key: ApiKeyDigest,
+    workspace: Rc<Workspace>,
+}
+
+/// Workspaces by name, and indexed by key. No key has two holders.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WorkspaceTable {
+    by_name: BTreeMap<String, DigestedWorkspace>,
+    /// Holders by [`ApiKeyDigest::index`]; more than one only if the indexes of keys collide.
+    holders: HashMap<u64, Vec<KeyHolder>>,
+}
+
+impl WorkspaceTable {
+    /// Builds a table. Of several workspaces with the same name the last one counts; of several
+    /// workspaces with the same key the first by name keeps it.
+    pub(crate) fn new(workspaces: Vec<KeyedWorkspace>) -> Self {
+        let by_name = workspaces.into_iter().map(|keyed| {
+            let name = keyed.workspace.name.clone();
+            (name, keyed)
+        });
+        let by_name: BTreeMap<String, KeyedWorkspace> = by_name.collect();
+        let mut table = Self::default();
+        for keyed in by_name.into_values() {
+            table.insert(keyed);
+        }
+        table
+    }
+
+    fn insert(&mut self, mut keyed: KeyedWorkspace) {
+        let workspace = Rc::new(keyed.workspace.clone());
+        keyed.keys.sort_unstable_by_key(|key| *key.as_bytes());
+        keyed.keys.retain(|key| self.index_key(*key, &workspace));
+        let digest = xxh3_64_with_seed(&WorkspaceRecord::from(&keyed).encode_to_vec(), DIGEST_SEED);
+        let keyed = Rc::new(keyed);
+        let name = workspace.name.clone();
+        self.by_name
+            .insert(name, DigestedWorkspace { keyed, digest });
+    }
+
+    /// Adds a key to the index and returns whether it had no holder.
+    fn index_key(&mut self, key: ApiKeyDigest, workspace: &Rc<Workspace>) -> bool {
+        if let Some(holder) = self.find(&key) {
+            if holder.name != workspace.name {
+                warn!(
+                    event = "workspace_key_shared", workspace = %workspace.name,
+                    holder = %holder.name
+                );
+            }
+            return false;
+        }
+        let workspace = Rc::clone(workspace);
+        let holders = self.holders.entry(key.index()).or_default();
+        holders.push(KeyHolder { key, workspace });
+        true
+    }
+
+    /// Workspace that holds a key.
+    pub(crate) fn find(&self, key: &ApiKeyDigest) -> Option<&Rc<Workspace>> {
+        let holders = self.holders.get(&key.index())?;
+        let holder = holders.iter().find(|holder| holder.key.matches(key))?;
+        Some(&holder.workspace)
+    }
+
+    /// Whether there are no workspaces.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.by_name.is_empty()
+    }
+
+    /// Digest of all workspaces, 0 without any.
+    pub(crate) fn digest(&self) -> u64 {
+        let digests = self.by_name.values().map(|digested| digested.digest);
+        digests.fold(0, |all, digest| all ^ digest)
+    }
+
+    /// Adds the changes that lead from `base` to this table to a delta.
+    pub(crate) fn write_delta(&self, base: Option<&Self>, delta: &mut VersionDelta) {
+        let in_base = |name: &str| base.and_then(|base| base.by_name.get(name));
+        let changed = self.by_name.iter().filter(|(name, digested)| {
+            let before = in_base(name);
+            before.is_none_or(|before| before.digest != digested.digest)
+        });
+        delta.workspaces = changed
+            .map(|(_, digested)| WorkspaceRecord::from(&*digested.keyed))
+            .collect();
+        let base_names = base.into_iter().flat_map(|base| base.by_name.keys());
+        delta.removed_workspaces = base_names
+            .filter(|name| !self.by_name.contains_key(*name))
+            .cloned()
+            .collect();
+    }
+
+    /// Builds the table that a delta produces from `base`.
+    pub(crate) fn apply(base: Option<&Self>, delta: &VersionDelta) -> Self {
+        let base = base.into_iter().flat_map(|base| base.by_name.values());
+        let is_kept =
+            |keyed: &KeyedWorkspace| !delta.removed_workspaces.contains(&keyed.workspace.name);
+        let kept = base.map(|digested| &*digested.keyed);
+        let kept = kept.filter(|keyed| is_kept(keyed)).cloned();
+        let changed = delta.workspaces.iter().map(KeyedWorkspace::from);
+        Self::new(kept.chain(changed).collect())
+    }
+}
--- a/crates/sequoiagw-mesh/tests/routes.rs
+++ b/crates/sequoiagw-mesh/tests/routes.rs
@@ -31,6 +31,7 @@
         latency_target: Duration::from_millis(300),
         level: RankLevel::MOST_URGENT,
         max_attempts: 2,
+        public: false,
     }
 }
 
--- a/crates/sequoiagw-mesh/tests/support/mod.rs
+++ b/crates/sequoiagw-mesh/tests/support/mod.rs
@@ -88,6 +88,7 @@
         latency_target: Duration::from_secs(1),
         level: RankLevel::MOST_URGENT,
         max_attempts: 2,
+        public: false,
     };
     MeshVersion::new(number, vec![route], CallerLimits::default())
 }
--- a/crates/sequoiagw-protocol/src/version_message.rs
+++ b/crates/sequoiagw-protocol/src/version_message.rs
@@ -57,9 +57,9 @@
     /// Name, unique within a version.
     #[prost(string, tag = "1")]
     pub name: String,
-    /// Keys of the callers. They never appear in logs or metrics.
-    #[prost(string, repeated, tag = "2")]
-    pub keys: Vec<String>,
+    /// SHA-256 digests of the callers' keys. The keys themselves are not sent.
+    #[prost(bytes = "vec", repeated, tag = "2")]
+    pub key_digests: Vec<Vec<u8>>,
     /// Rank level of the requests, which replaces the route's; absent to keep the route's.
     #[prost(uint32, optional, tag = "3")]
     pub level: Option<u32>,
