Callers' keys are checked against the version in force

A caller's key that no workspace holds is refused with 401 on other routes, the key isn't forwarded, and the backend server gets the workspace's name. The workspace's level replaces the route's. Paths are logged without their query, which may contain a key by mistake.

--- a/crates/sequoiagw-http/src/http_server.rs
+++ b/crates/sequoiagw-http/src/http_server.rs
@@ -222,9 +222,11 @@
     /// Logs that there was no room for the body of the request that is being read.
     fn log_refused_body(&self) {
         let head = self.partial.as_ref().map(|partial| &partial.head);
+        // The query is left out, because a caller may have put a key into it by mistake.
+        let path = head.and_then(|head| head.path.split('?').next());
         warn!(
             event = "body_refused",
-            path = head.map(|head| head.path.as_str()),
+            path,
             body = head.map(|head| tracing::field::debug(head.body)),
             used_bytes = self.budget.used()
         );
--- a/crates/sequoiagw-mesh/src/call_log.rs
+++ b/crates/sequoiagw-mesh/src/call_log.rs
@@ -6,6 +6,7 @@
 use sequoiagw_node::PlacementLogFields;
 use sequoiagw_policy::CallerReply;
 use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::RankLevel;
 use sequoiagw_protocol::ServedAnswer;
 use sequoiagw_telemetry::is_sampled;
 use sequoiagw_telemetry::LatencySeries;
@@ -20,6 +21,10 @@
 pub(crate) struct CallLog<'a> {
     pub(crate) request_id: &'a str,
     pub(crate) route: &'a MeshRoute,
+    /// Rank level of the call.
+    pub(crate) level: RankLevel,
+    /// Name of the caller's workspace.
+    pub(crate) workspace: Option<&'a str>,
     pub(crate) service: String,
     /// Time from the start of the request to its deadline.
     pub(crate) timeout: Duration,
@@ -79,10 +84,10 @@
             target: REQUEST_LOG_TARGET,
             event = "call_refused", request = self.request_id, reason = kind.rule().name,
             ran = %kind.rule().ran, tries = reply.attempts, route = %self.route.name,
-            rank = %self.route.level, allowed_ms = self.timeout.as_millis() as u64,
+            rank = %self.level, allowed_ms = self.timeout.as_millis() as u64,
             total_ms = total.as_millis() as u64, service = %self.service, target = %placement.target,
             expected_ms = placement.expected_ms, report_age_ms = placement.report_age_ms,
-            version = self.version
+            version = self.version, workspace = self.workspace
         );
     }
 
@@ -96,11 +101,11 @@
         info!(
             target: REQUEST_LOG_TARGET,
             event = "call_served", request = self.request_id, status = answer.status,
-            tries = reply.attempts, route = %self.route.name, rank = %self.route.level,
+            tries = reply.attempts, route = %self.route.name, rank = %self.level,
             allowed_ms = self.timeout.as_millis() as u64, total_ms = total.as_millis() as u64,
             wait_ms = reply.slot_wait.as_millis() as u64, run_ms = reply.occupancy.as_millis() as u64,
             service = %self.service, target = %placement.target, expected_ms = placement.expected_ms,
-            report_age_ms = placement.report_age_ms, version = self.version
+            report_age_ms = placement.report_age_ms, version = self.version, workspace = self.workspace
         );
     }
 }
--- a/crates/sequoiagw-mesh/src/caller_server.rs
+++ b/crates/sequoiagw-mesh/src/caller_server.rs
@@ -16,6 +16,7 @@
 use sequoiagw_policy::PlacementRule;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::HeaderField;
+use sequoiagw_protocol::RankLevel;
 use sequoiagw_protocol::RunState;
 use sequoiagw_telemetry::REQUEST_LOG_TARGET;
 use tokio::net::TcpListener;
@@ -26,6 +27,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::call_log::CallLog;
+use crate::caller_access::CallerAccess;
 use crate::connection_acceptor::accept_connections;
 use crate::retry_after_delay;
 use crate::MeshHandle;
@@ -117,6 +119,11 @@
         let Some(route) = version.find_route(host, &request.head.path).cloned() else {
             return self.refuse(ErrorKind::RouteUnknown, &request_id, "", version.number);
         };
+        let access = CallerAccess::check(&version, &route, &request.head, &header_names);
+        let access = match access {
+            Ok(access) => access,
+            Err(kind) => return self.refuse(kind, &request_id, &route.name, version.number),
+        };
         let caller_timeout = request
             .head
             .header(header_names.deadline)
@@ -135,12 +142,18 @@
                 version.number,
             );
         };
-        let spec = self.call_spec(&route, caller_timeout, timeout);
+        let spec = CallSpec {
+            level: access.level(&route),
+            ..self.call_spec(&route, caller_timeout, timeout)
+        };
+        let level = spec.level;
         let first_arrival = arrival.checked_sub(spec.waited).unwrap_or(arrival);
-        let call = self.call_request(request, &request_id);
+        let call = self.call_request(request, &request_id, &access);
         let log = CallLog {
             request_id: &request_id,
             route: &route,
+            level,
+            workspace: access.workspace().map(|workspace| &*workspace.name),
             service: spec.service.clone(),
             timeout: spec.timeout,
             version: version.number,
@@ -155,7 +168,7 @@
                 body: answer.body,
             },
             Err(kind) => {
-                let refusal = refusal_reply(kind, Some(&route));
+                let refusal = refusal_reply(kind, Some(level));
                 if let Some(time_left) = caller_timeout.filter(|_| refusal.status == STATUS_RETRY) {
                     let attempt = CallerAttempt {
                         arrival,
@@ -200,7 +213,12 @@
         }
     }
 
-    fn call_request(&self, request: HttpRequest, request_id: &str) -> CallRequest {
+    fn call_request(
+        &self,
+        request: HttpRequest,
+        request_id: &str,
+        access: &CallerAccess,
+    ) -> CallRequest {
         let header_names = self.handle.platform_format().headers();
         let service = self
             .handle
@@ -212,11 +230,13 @@
             .into_iter()
             .filter(|field| !is_connection_header(&field.name))
             .filter(|field| !field.name.eq_ignore_ascii_case(header_names.caller_service))
+            .filter(|field| access.forwards(&field.name, header_names))
             .collect();
         headers.push(HeaderField {
             name: header_names.caller_service.to_owned(),
             value: service,
         });
+        headers.extend(access.workspace_header(header_names));
         CallRequest {
             method: request.head.method,
             path: request.head.path,
@@ -241,7 +261,7 @@
 }
 
 /// Builds the reply to a request that got no response from a backend server.
-fn refusal_reply(kind: ErrorKind, route: Option<&MeshRoute>) -> HttpReply {
+fn refusal_reply(kind: ErrorKind, level: Option<RankLevel>) -> HttpReply {
     let rule = kind.rule();
     let status = match (rule.ran, rule.status) {
         (_, 400..=499) => rule.status,
@@ -250,7 +270,7 @@
     };
     let mut reply = HttpReply::empty(status);
     if status == STATUS_RETRY {
-        let delay = retry_after_delay(kind, route.map(|route| route.level));
+        let delay = retry_after_delay(kind, level);
         reply.push_header("Retry-After", &format!("{:.3}", delay.as_secs_f64()));
     }
     reply
--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod api_key_digest;
 mod call_log;
+mod caller_access;
 mod caller_server;
 mod connection_acceptor;
 mod core_actions;
--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -285,8 +285,10 @@
     }
 }
 
-/// Start of a path, short enough for a log line.
+/// Start of a path without its query, short enough for a log line. A caller may have put a key into
+/// the query by mistake.
 fn logged_path(path: &str) -> &str {
+    let path = path.split(['?', '#']).next().unwrap_or_default();
     path.get(..MAX_LOGGED_PATH_BYTES).unwrap_or(path)
 }
 
--- a/crates/sequoiagw-mesh/src/platform_format.rs
+++ b/crates/sequoiagw-mesh/src/platform_format.rs
@@ -27,6 +27,10 @@
     pub leaving: &'static str,
     /// Service that sent a request.
     pub caller_service: &'static str,
+    /// Key of a caller, which is never forwarded.
+    pub api_key: &'static str,
+    /// Workspace of the caller, set only by nodes.
+    pub workspace: &'static str,
 }
 
 /// A request to one of the node's own addresses.
--- a/crates/sequoiagw-mesh/tests/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_backend.rs
@@ -29,6 +29,8 @@
     request_limit: "Limit",
     leaving: "Leaving",
     caller_service: "Service",
+    api_key: "Key",
+    workspace: "Workspace",
 };
 /// Time between two bytes of a trickle.
 const TRICKLE_INTERVAL: Duration = Duration::from_millis(50);
--- a/crates/sequoiagw-mesh/tests/number_format/mod.rs
+++ b/crates/sequoiagw-mesh/tests/number_format/mod.rs
@@ -22,6 +22,8 @@
     request_limit: "Limit",
     leaving: "Leaving",
     caller_service: "Service",
+    api_key: "Key",
+    workspace: "Workspace",
 };
 
 /// Platform format in which a configuration is only the number of a version.
--- a/crates/sequoiagw-telemetry/src/trace_cause.rs
+++ b/crates/sequoiagw-telemetry/src/trace_cause.rs
@@ -41,10 +41,14 @@
                     disconnected, or its node was lost."
                 .to_owned();
         };
-        match end.event.as_str() {
+        let cause = match end.event.as_str() {
             "call_served" => self.explain_answer(end),
             "call_abandoned" => self.explain_abandoned(end),
             _ => self.explain_refusal(end),
+        };
+        match end.field("workspace") {
+            "" => cause,
+            workspace => format!("{cause} Its caller is of the workspace {workspace}."),
         }
     }
 
