--- a/crates/sequoiagw-mesh/tests/support/mod.rs
+++ b/crates/sequoiagw-mesh/tests/support/mod.rs
@@ -73,9 +73,9 @@
     }
 }
 
-/// A version with one route; its content differs for each number.
-pub fn version(number: u64) -> MeshVersion {
-    let route = MeshRoute {
+/// The route `order`, whose content differs for each number.
+pub fn route(number: u64) -> MeshRoute {
+    MeshRoute {
         name: "order".to_owned(),
         host: "shop.example".to_owned(),
         prefix: "/order/".to_owned(),
@@ -89,6 +89,10 @@
         level: RankLevel::MOST_URGENT,
         max_attempts: 2,
         public: false,
-    };
-    MeshVersion::new(number, vec![route], CallerLimits::default())
+    }
+}
+
+/// A version with one route; its content differs for each number.
+pub fn version(number: u64) -> MeshVersion {
+    MeshVersion::new(number, vec![route(number)], CallerLimits::default())
 }
--- a/crates/sequoiagw-telemetry/tests/logs.rs
+++ b/crates/sequoiagw-telemetry/tests/logs.rs
@@ -56,6 +56,15 @@
     }
 }
 
+#[test]
+fn trace_names_the_workspace_of_the_caller() {
+    let with_workspace = format!("{REFUSED} workspace=mill");
+    for (text, is_named) in [(REFUSED, false), (&*with_workspace, true)] {
+        let cause = RequestTrace::new("a1", vec![parse_line(text, "node-a")]).cause();
+        assert_eq!(cause.contains("workspace mill"), is_named, "{cause}");
+    }
+}
+
 #[test]
 fn trace_sorts_lines_of_all_nodes_and_names_the_cause() {
     let lines = vec![
