--- a/crates/sequoiagw-mesh/tests/workspaces/version_workspaces.rs
+++ b/crates/sequoiagw-mesh/tests/workspaces/version_workspaces.rs
@@ -104,7 +104,7 @@
     let digest = |workspaces: &[KeyedWorkspace]| version(7, workspaces).digest;
     let digests = [
         digest(&[]),
-        digest(&[plain.clone()]),
+        digest(std::slice::from_ref(&plain)),
         digest(&[with_level]),
         digest(&[with_quota]),
         digest(&[workspace("mill", &["a"])]),
