Workspaces share a target's slots in turn

A hot workspace's calls filled the one queue of a level, and those of all others were refused with them. The dispatch names the workspace, which is its flow in the queue. Calls without a workspace keep flow 0, which takes no turns but goes by due times among the others. A call's expected wait counts what is served before it in its flow, and the slots that the other flows leave to it.

Run: tests of the policy package, and key_secrecy and workspaces of the mesh package.

--- a/crates/sequoiagw-mesh/src/caller_server.rs
+++ b/crates/sequoiagw-mesh/src/caller_server.rs
@@ -245,6 +245,10 @@
             idempotency_key: String::new(),
             caller_hash: 0,
             caller_name_hash,
+            workspace: access
+                .workspace()
+                .map(|workspace| workspace.name.clone())
+                .unwrap_or_default(),
             request_id: request_id.to_owned(),
         }
     }
--- a/crates/sequoiagw-mesh/tests/key_secrecy/main.rs
+++ b/crates/sequoiagw-mesh/tests/key_secrecy/main.rs
@@ -15,18 +15,26 @@
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::time::Duration;
 
 use tokio::task::LocalSet;
+use tokio::time::sleep;
+use tokio::time::timeout;
 use tracing_subscriber::filter::LevelFilter;
 
 use crate::served_node::ServedNode;
 use crate::served_node::BROKEN_PATH;
+use crate::served_node::SILENT_PATH;
 use crate::workspace_version::version;
 use crate::workspace_version::workspace;
 
 /// Part of all keys in this test.
 const SECRET: &str = "s3cr3t";
 const KEY: &str = "s3cr3t-of-mill";
+/// Time after which a caller closes its connection.
+const TIME_TO_ABANDON: Duration = Duration::from_millis(100);
+/// Checks before a log line counts as missing.
+const MAX_CHECKS: u32 = 20;
 
 /// Log lines of the current thread.
 #[derive(Clone, Default)]
@@ -50,6 +58,21 @@
     }
 }
 
+/// Sends a request, closes its connection before the answer, and waits until the node logs that.
+async fn abandon_request(node: &ServedNode, capture: &LogCapture) {
+    let path = format!("/order{SILENT_PATH}");
+    let headers = [("Key", KEY)];
+    let abandoned = timeout(TIME_TO_ABANDON, node.status(&path, &headers)).await;
+    assert!(abandoned.is_err(), "the request must not be answered");
+    for _ in 0..MAX_CHECKS {
+        if capture.text().contains("call_abandoned") {
+            return;
+        }
+        sleep(TIME_TO_ABANDON).await;
+    }
+    panic!("the node must log that the caller left");
+}
+
 /// Sends requests that are served, refused and broken, all with a key in their header or query.
 async fn send_requests(node: &ServedNode) {
     let shared = [workspace("forge", &[KEY]), workspace("mill", &[KEY])];
@@ -76,6 +99,7 @@
     let check = async {
         let node = ServedNode::start().await;
         send_requests(&node).await;
+        abandon_request(&node, &capture).await;
         assert_eq!(node.unknown_keys(), 2);
         for head in node.take_heads() {
             assert!(!head.contains("Key:"), "{head}");
@@ -99,6 +123,7 @@
         &["run_failed", BROKEN_PATH],
         &["call_refused", "api_key_unknown"],
         &["call_refused", "backend_broken", "workspace=\"mill\""],
+        &["call_abandoned", "workspace=\"mill\""],
     ] {
         assert!(has_line(parts), "{parts:?} in {text}");
     }
--- a/crates/sequoiagw-mesh/tests/workspaces/served_node.rs
+++ b/crates/sequoiagw-mesh/tests/workspaces/served_node.rs
@@ -36,6 +36,8 @@
 
 /// Requests whose path contains this are never answered: the backend server closes the connection.
 pub const BROKEN_PATH: &str = "/broken";
+/// Requests whose path contains this are never answered, on a connection that stays open.
+pub const SILENT_PATH: &str = "/silent";
 const BOOT: u64 = 1;
 const TIMEOUT: Duration = Duration::from_secs(3);
 const MAX_ANSWER_BYTES: u64 = 1024;
@@ -181,6 +183,9 @@
             id.unwrap_or_default()
         );
         let is_broken = head.contains(BROKEN_PATH);
+        if head.contains(SILENT_PATH) {
+            std::future::pending::<()>().await;
+        }
         heads.borrow_mut().push(head);
         if is_broken || stream.write_all(answer.as_bytes()).await.is_err() {
             return;
--- a/crates/sequoiagw-node/src/caller_server.rs
+++ b/crates/sequoiagw-node/src/caller_server.rs
@@ -339,6 +339,7 @@
         body,
         idempotency_key: key,
         caller_hash,
+        workspace: String::new(),
         caller_name_hash: name_hash.unwrap_or_default(),
         request_id,
     })
--- a/crates/sequoiagw-node/src/request_log.rs
+++ b/crates/sequoiagw-node/src/request_log.rs
@@ -59,11 +59,12 @@
     let last_contact_ms = abandoned
         .last_contact_age
         .map_or(-1, |age| age.as_millis() as i64);
+    let workspace = Some(&*abandoned.workspace).filter(|workspace| !workspace.is_empty());
     info!(
         target: REQUEST_LOG_TARGET,
         event = "call_abandoned", request = %abandoned.request_id, phase = abandoned.phase,
         target = %placement.target, tries = abandoned.attempts,
-        total_ms = abandoned.age.as_millis() as u64, last_contact_ms
+        total_ms = abandoned.age.as_millis() as u64, last_contact_ms, workspace
     );
 }
 
--- a/crates/sequoiagw-policy/src/decision_record.rs
+++ b/crates/sequoiagw-policy/src/decision_record.rs
@@ -58,6 +58,8 @@
 pub struct AbandonRecord {
     /// Request id.
     pub request_id: String,
+    /// Name of the caller's workspace, empty if it has none.
+    pub workspace: String,
     /// What the entry was waiting for.
     pub phase: &'static str,
     /// Target of the last attempt.
--- a/crates/sequoiagw-policy/src/entry_call.rs
+++ b/crates/sequoiagw-policy/src/entry_call.rs
@@ -60,6 +60,8 @@
     pub caller_hash: u64,
     /// Hash of the caller's name, the same at every node; 0 if the caller has none.
     pub caller_name_hash: u64,
+    /// Name of the caller's workspace, empty if it has none.
+    pub workspace: String,
     /// Request id for logs.
     pub request_id: String,
 }
--- a/crates/sequoiagw-policy/src/entry_dispatch.rs
+++ b/crates/sequoiagw-policy/src/entry_dispatch.rs
@@ -106,6 +106,7 @@
         remaining_ms: remaining.as_millis() as u32,
         caller_hash: request.caller_hash,
         caller_name_hash: request.caller_name_hash,
+        workspace: request.workspace.clone(),
         key: request.idempotency_key.clone(),
         fingerprint: request_fingerprint(request),
         method: request.method.clone(),
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -293,6 +293,7 @@
         let last_contact = target.and_then(|target| self.last_contact(target.node));
         AbandonRecord {
             request_id: entry_call.request.request_id.clone(),
+            workspace: entry_call.request.workspace.clone(),
             phase: entry_call.phase.name(),
             placement: entry_call.placement,
             attempts: entry_call.attempts,
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -14,6 +14,7 @@
 mod entry_machine;
 mod entry_retries;
 mod entry_suspects;
+mod flow_slots;
 mod key_table;
 mod occupancy_times;
 mod owner_action;
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -13,6 +13,7 @@
 use sequoiagw_protocol::PendingAnswer;
 use tokio::time::Instant;
 
+use crate::flow_slots::FlowSlots;
 use crate::owner_call::scoped_key;
 use crate::owner_call::OwnerCall;
 use crate::owner_call::OwnerState;
@@ -41,6 +42,7 @@
     pub(crate) queue: RankQueue,
     pub(crate) occupancy: OccupancyTimes,
     pub(crate) start_rates: StartRates,
+    pub(crate) flow_slots: FlowSlots,
     pub(crate) pacer: StartPacer,
     /// Whether the backend server has answered this process yet.
     pub(crate) backend_known: bool,
@@ -82,6 +84,7 @@
             queue,
             occupancy: OccupancyTimes::default(),
             start_rates: StartRates::default(),
+            flow_slots: FlowSlots::default(),
             pacer: StartPacer::default(),
             backend_known: false,
             paused_until: None,
--- a/crates/sequoiagw-policy/src/owner_reports.rs
+++ b/crates/sequoiagw-policy/src/owner_reports.rs
@@ -44,7 +44,7 @@
             request_id: dispatch.request_id.clone(),
             kind,
             level,
-            expected_wait: self.expected_wait(level, now),
+            expected_wait: self.expected_wait_of(dispatch, now),
             waiting: self.queue.len(),
             running: self.limiter.running(),
             slots: self.usable_slots(now),
--- a/crates/sequoiagw-policy/src/owner_runs.rs
+++ b/crates/sequoiagw-policy/src/owner_runs.rs
@@ -8,11 +8,13 @@
 use sequoiagw_protocol::RankLevel;
 use sequoiagw_protocol::WaitLimit;
 use tokio::time::Instant;
+use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::acceptable_local_latency;
 use crate::owner_call::OwnerCall;
 use crate::owner_call::OwnerState;
+use crate::rank_queue::SHARED_FLOW;
 use crate::remote_penalty;
 use crate::BackendResult;
 use crate::CallId;
@@ -51,6 +53,7 @@
             return;
         };
         let latest_start = self.latest_start(call, now);
+        let expected_wait = self.expected_wait_of(&call.dispatch, now);
         let Some(call) = self.calls.get_mut(&id) else {
             return;
         };
@@ -66,7 +69,7 @@
         let slot_wait = if has_free_slot {
             Duration::ZERO
         } else {
-            self.expected_wait(queued.level, now)
+            expected_wait
         };
         if !self.is_wait_acceptable(id, queued.level, slot_wait, now) {
             self.refuse(id, ErrorKind::QueueFull, now);
@@ -134,8 +137,24 @@
 
     /// Estimated wait for a slot at this level, behind the queued calls of this and the more
     /// urgent levels and the more urgent calls that are expected to arrive meanwhile.
-    pub(crate) fn expected_wait(&self, level: RankLevel, now: Instant) -> Duration {
+    fn expected_wait(&self, level: RankLevel, now: Instant) -> Duration {
         let ahead = self.queue.queued_up_to(level) as f64 + 1.0;
+        Duration::from_secs_f64(ahead / self.available_per_s(level, now))
+    }
+
+    /// Like [`Self::expected_wait`], behind only those queued calls of the level that are served
+    /// before this new one.
+    pub(crate) fn expected_wait_of(&self, dispatch: &CallDispatch, now: Instant) -> Duration {
+        let level = RankLevel::new(dispatch.rank.min(7) as u8);
+        let flow = flow_of(dispatch);
+        let due = now + Duration::from_millis(u64::from(dispatch.latency_target_ms));
+        let ahead = self.queue.queued_ahead(level, flow, due) as f64 + 1.0;
+        let wait = Duration::from_secs_f64(ahead / self.available_per_s(level, now));
+        wait.max(self.own_flow_wait(dispatch, level, flow, now))
+    }
+
+    /// Estimated rate at which slots become free for calls of this level, per second.
+    fn available_per_s(&self, level: RankLevel, now: Instant) -> f64 {
         let slots = f64::from(self.limiter.allowed().max(1));
         let freed_per_s = slots / self.occupancy.mean(now).as_secs_f64().max(MIN_OCCUPANCY_S);
         let freed_per_s = self
@@ -143,11 +162,31 @@
             .rate()
             .map_or(freed_per_s, |rate| rate.min(freed_per_s));
         let urgent_per_s = self.start_rates.more_urgent_rate(level, now);
-        let available_per_s = (freed_per_s - urgent_per_s).max(freed_per_s * MIN_SLOT_SHARE);
-        Duration::from_secs_f64(ahead / available_per_s)
+        (freed_per_s - urgent_per_s).max(freed_per_s * MIN_SLOT_SHARE)
     }
 
-    /// Estimated wait of each level, zero where a call would start at once.
+    /// Estimated time until the queued calls of a workspace have had their turns, zero for a call
+    /// without a workspace. Calls of other flows that arrive meanwhile have turns in between.
+    fn own_flow_wait(
+        &self,
+        dispatch: &CallDispatch,
+        level: RankLevel,
+        flow: u64,
+        now: Instant,
+    ) -> Duration {
+        let own = self.queue.queued_in_flow(level, flow);
+        if dispatch.workspace.is_empty() || own == 0 {
+            return Duration::ZERO;
+        }
+        let slots = f64::from(self.usable_slots(now).max(1));
+        let available = self.flow_slots.available_to(level, flow, slots, now);
+        let available = available.max(slots * MIN_SLOT_SHARE);
+        let occupancy = self.occupancy.route_mean(&dispatch.route, now);
+        occupancy.mul_f64(own as f64 / available)
+    }
+
+    /// Estimated wait of each level, zero where a call would start at once. A call of a workspace
+    /// with few queued calls waits for a shorter time.
     pub(crate) fn expected_waits(&self, now: Instant) -> [Duration; RankLevel::COUNT] {
         let mut waits = [Duration::ZERO; RankLevel::COUNT];
         for (index, wait) in (0..).zip(&mut waits) {
@@ -260,6 +299,11 @@
         self.occupancy.record_start(run, &dispatch.route, now);
         let level = RankLevel::new(dispatch.rank.min(7) as u8);
         self.start_rates.record(level, now);
+        let flow = flow_of(&dispatch);
+        if flow == SHARED_FLOW || !dispatch.workspace.is_empty() {
+            let occupancy = self.occupancy.route_mean(&dispatch.route, now);
+            self.flow_slots.record(level, flow, occupancy, now);
+        }
         self.pacer.record_start(now);
         self.runs.insert(run, id);
         self.run_deadlines.insert((deadline, run));
@@ -320,11 +364,14 @@
     }
 }
 
-/// Flow of a call for fair queueing: its route and caller. Calls with a latency target share
-/// one flow, so that due times order all of them within their level.
-fn flow_of(dispatch: &CallDispatch) -> u64 {
+/// Flow of a call for fair queueing: its workspace, or else its route and caller. Other calls with
+/// a latency target are in the shared flow, so that due times order all of them within their level.
+pub(crate) fn flow_of(dispatch: &CallDispatch) -> u64 {
+    if !dispatch.workspace.is_empty() {
+        return xxh3_64(dispatch.workspace.as_bytes());
+    }
     if dispatch.wait_limit() != WaitLimit::Deadline {
-        return 0;
+        return SHARED_FLOW;
     }
     xxh3_64_with_seed(dispatch.route.as_bytes(), dispatch.caller_hash)
 }
--- a/crates/sequoiagw-policy/src/rank_queue.rs
+++ b/crates/sequoiagw-policy/src/rank_queue.rs
@@ -11,6 +11,9 @@
 
 use crate::CallId;
 
+/// Flow that takes no turns: its calls are ordered by their due times among those of the other
+/// flows.
+pub(crate) const SHARED_FLOW: u64 = 0;
 /// Maximum debt of a level, in calls.
 const MAX_DEBT: f64 = 1.0;
 
@@ -21,7 +24,7 @@
     pub id: CallId,
     /// Rank level.
     pub level: RankLevel,
-    /// Flow for fair queueing within the level.
+    /// Flow for fair queueing within the level; 0 is a shared flow that takes no turns.
     pub flow: u64,
     /// Due time, which orders the calls of a flow.
     pub due: Instant,
@@ -45,7 +48,7 @@
 struct LevelQueue {
     /// Calls of each flow, by due time and arrival number.
     flows: HashMap<u64, BTreeMap<(Instant, u64), CallId>>,
-    /// Flows with queued calls, in round-robin order.
+    /// Flows with queued calls, in round-robin order, without the shared one.
     flow_order: VecDeque<u64>,
     length: usize,
 }
@@ -53,27 +56,62 @@
 impl LevelQueue {
     fn insert(&mut self, flow: u64, position: (Instant, u64), id: CallId) {
         let calls = self.flows.entry(flow).or_default();
-        if calls.is_empty() {
+        if calls.is_empty() && flow != SHARED_FLOW {
             self.flow_order.push_back(flow);
         }
         calls.insert(position, id);
         self.length += 1;
     }
 
-    /// Removes and returns the earliest due call of the next flow in round-robin order.
+    /// Removes and returns the earliest due call of the shared flow, or of the next flow in
+    /// round-robin order if that one is due earlier. Every call that is served before one of the
+    /// shared flow is thus due earlier than it, as if due times ordered all calls.
     fn pop(&mut self) -> Option<CallId> {
-        let flow = self.flow_order.pop_front()?;
+        let shared = self.earliest_due(SHARED_FLOW);
+        let next = self.flow_order.front().copied();
+        let next_due = next.and_then(|flow| self.earliest_due(flow));
+        let flow = match (shared, next) {
+            (Some(shared), Some(next)) if next_due.is_some_and(|due| due < shared) => next,
+            (Some(_), _) => SHARED_FLOW,
+            (None, next) => next?,
+        };
+        if flow != SHARED_FLOW {
+            self.flow_order.pop_front();
+        }
         let calls = self.flows.get_mut(&flow)?;
         let (_, id) = calls.pop_first()?;
         self.length -= 1;
         if calls.is_empty() {
             self.flows.remove(&flow);
-        } else {
+        } else if flow != SHARED_FLOW {
             self.flow_order.push_back(flow);
         }
         Some(id)
     }
 
+    /// Due time and arrival number of the earliest due call of a flow.
+    fn earliest_due(&self, flow: u64) -> Option<(Instant, u64)> {
+        let (position, _) = self.flows.get(&flow)?.first_key_value()?;
+        Some(*position)
+    }
+
+    /// Number of calls that are served before a new call of this flow: while its earlier calls
+    /// have their turns, each other flow has at most one turn more, and any number of calls of the
+    /// shared flow may be due earlier. A call of the shared flow waits for the others of that flow
+    /// and for those that are due earlier.
+    fn queued_ahead(&self, flow: u64, due: Instant) -> usize {
+        let turns = self.flow_length(flow) + 1;
+        let due_earlier =
+            |calls: &BTreeMap<(Instant, u64), CallId>| calls.range(..(due, u64::MAX)).count();
+        let ahead = self.flows.iter().map(|(other, calls)| match *other {
+            _ if *other == flow => calls.len(),
+            _ if flow == SHARED_FLOW => due_earlier(calls),
+            SHARED_FLOW => calls.len(),
+            _ => calls.len().min(turns),
+        });
+        ahead.sum()
+    }
+
     fn remove(&mut self, flow: u64, position: (Instant, u64)) {
         let Some(calls) = self.flows.get_mut(&flow) else {
             return;
@@ -88,12 +126,13 @@
         }
     }
 
-    /// Newest call of the longest flow, with that flow's length.
+    /// Newest call of the longest flow, with that flow's length. The shared flow counts only without
+    /// other ones, so that it loses no calls to them.
     fn newest_of_longest_flow(&self) -> Option<(CallId, usize)> {
         let (_, calls) = self
             .flows
             .iter()
-            .max_by_key(|(flow, calls)| (calls.len(), **flow))?;
+            .max_by_key(|(flow, calls)| (**flow != SHARED_FLOW, calls.len(), **flow))?;
         let ((_, _), id) = calls.iter().max_by_key(|((_, arrival), _)| *arrival)?;
         Some((*id, calls.len()))
     }
@@ -165,6 +204,18 @@
             .sum()
     }
 
+    /// Number of queued calls that are served before a new call of this level, flow and due time.
+    pub fn queued_ahead(&self, level: RankLevel, flow: u64, due: Instant) -> usize {
+        let more_urgent = self.levels[..level.index()].iter();
+        let more_urgent: usize = more_urgent.map(|queue| queue.length).sum();
+        more_urgent + self.levels[level.index()].queued_ahead(flow, due)
+    }
+
+    /// Number of queued calls of a flow.
+    pub fn queued_in_flow(&self, level: RankLevel, flow: u64) -> usize {
+        self.levels[level.index()].flow_length(flow)
+    }
+
     /// Earliest deadline of all queued calls.
     pub fn next_deadline(&self) -> Option<Instant> {
         self.deadlines.first().map(|(deadline, _)| *deadline)
--- a/crates/sequoiagw-policy/tests/overload/excess_calls.rs
+++ b/crates/sequoiagw-policy/tests/overload/excess_calls.rs
@@ -114,6 +114,7 @@
     };
     let rare = OfferedLoad {
         route: "report",
+        workspace: "",
         rank: 0,
         interval_ms: 2900,
         run_ms: 1000,
--- a/crates/sequoiagw-policy/tests/overload/main.rs
+++ b/crates/sequoiagw-policy/tests/overload/main.rs
@@ -3,3 +3,4 @@
 mod excess_calls;
 mod request_limits;
 mod target_simulation;
+mod workspace_shares;
--- a/crates/sequoiagw-policy/tests/overload/target_simulation.rs
+++ b/crates/sequoiagw-policy/tests/overload/target_simulation.rs
@@ -23,6 +23,8 @@
 #[derive(Clone, Copy)]
 pub struct OfferedLoad {
     pub route: &'static str,
+    /// Workspace of the callers, empty for none.
+    pub workspace: &'static str,
     pub rank: u32,
     /// Time between two calls.
     pub interval_ms: u64,
@@ -183,6 +185,7 @@
         call,
         service: "press".to_owned(),
         route: load.route.to_owned(),
+        workspace: load.workspace.to_owned(),
         rank: load.rank,
         remaining_ms: load.deadline_ms,
         target_boot: BOOT,
@@ -215,6 +218,7 @@
 /// Twice the capacity of the target, which is 60 such calls a second.
 pub const LONG_CALL_OVERLOAD: OfferedLoad = OfferedLoad {
     route: "order",
+    workspace: "",
     rank: 2,
     interval_ms: 8,
     run_ms: 200,
@@ -225,6 +229,7 @@
 /// Short calls, such as those that runs at other targets make and wait for.
 pub const SHORT_CALLS: OfferedLoad = OfferedLoad {
     route: "check",
+    workspace: "",
     rank: 1,
     interval_ms: 20,
     run_ms: 40,
--- a/crates/sequoiagw-policy/tests/rank_queue.rs
+++ b/crates/sequoiagw-policy/tests/rank_queue.rs
@@ -202,3 +202,77 @@
     assert_eq!(queue.pop(RankLevel::MOST_URGENT), None);
     assert!(queue.pop(RankLevel::LEAST_URGENT).is_some());
 }
+
+/// Numbers of the calls in the order in which the queue serves them.
+fn served_order(queue: &mut RankQueue) -> Vec<u64> {
+    std::iter::from_fn(|| queue.pop(RankLevel::LEAST_URGENT))
+        .map(|id| id.call)
+        .collect()
+}
+
+#[test]
+fn calls_of_the_shared_flow_are_served_no_later_than_by_due_times_alone() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8)>>()
+        .for_each(|calls| {
+            let start = Instant::now();
+            let mut queue = RankQueue::new(usize::MAX, [0.0; RankLevel::COUNT]);
+            let mut by_due = RankQueue::new(usize::MAX, [0.0; RankLevel::COUNT]);
+            let mut shared = Vec::new();
+            for (number, (flow, wait)) in (0..).zip(calls) {
+                let due = start + Duration::from_millis(u64::from(*wait));
+                let flow = u64::from(flow % 4);
+                queue.push(queued_call(number, 3, flow, due));
+                by_due.push(queued_call(number, 3, 0, due));
+                if flow == 0 {
+                    shared.push(number);
+                }
+            }
+            let (order, order_by_due) = (served_order(&mut queue), served_order(&mut by_due));
+            assert_eq!(order.len(), order_by_due.len());
+            for call in shared {
+                let place = |order: &[u64]| order.iter().position(|other| *other == call);
+                assert!(place(&order) <= place(&order_by_due), "{call}: {order:?}");
+            }
+        });
+}
+
+#[test]
+fn flows_take_turns_and_the_shared_flow_goes_by_its_due_times() {
+    let start = Instant::now();
+    let mut queue = RankQueue::new(20, [0.0; RankLevel::COUNT]);
+    let due = |ms| start + Duration::from_millis(ms);
+    for number in 0..4 {
+        queue.push(queued_call(number, 3, 1, due(100 + number)));
+    }
+    queue.push(queued_call(4, 3, 2, due(200)));
+    queue.push(queued_call(5, 3, 0, due(50)));
+    queue.push(queued_call(6, 3, 0, due(150)));
+    let level = RankLevel::new(3);
+    assert_eq!(
+        queue.queued_ahead(level, 3, due(300)),
+        4,
+        "one turn of each flow and two"
+    );
+    assert_eq!(queue.queued_ahead(level, 2, due(300)), 5);
+    assert_eq!(
+        queue.queued_ahead(level, 0, due(120)),
+        6,
+        "the call 4 is due later"
+    );
+    assert_eq!(served_order(&mut queue), [5, 0, 6, 4, 1, 2, 3]);
+}
+
+#[test]
+fn full_queue_evicts_no_call_of_the_shared_flow_for_one_of_another_flow() {
+    let start = Instant::now();
+    let mut queue = RankQueue::new(5, [0.0; RankLevel::COUNT]);
+    for number in 0..4 {
+        queue.push(queued_call(number, 3, 0, start));
+    }
+    let of_flow = queued_call(4, 3, 1, start);
+    queue.push(of_flow);
+    assert_eq!(queue.push(queued_call(5, 3, 2, start)), PushOutcome::Full);
+    let urgent = queued_call(6, 1, 0, start);
+    assert_eq!(queue.push(urgent), PushOutcome::Evicted(of_flow.id));
+}
--- a/crates/sequoiagw-protocol/src/call_message.rs
+++ b/crates/sequoiagw-protocol/src/call_message.rs
@@ -82,6 +82,9 @@
     /// Hash of the caller's name, the same at every node; 0 if the caller has none.
     #[prost(fixed64, tag = "19")]
     pub caller_name_hash: u64,
+    /// Name of the caller's workspace, empty if it has none.
+    #[prost(string, tag = "20")]
+    pub workspace: String,
 }
 
 /// Limit on the time for which a dispatched call may wait for a slot. The owner refuses a call
