--- a/crates/sequoiagw-policy/tests/overload/workspace_shares.rs
+++ b/crates/sequoiagw-policy/tests/overload/workspace_shares.rs
@@ -88,16 +88,23 @@
         share(hot.served, hot.offered) > mean_share / 4.0,
         "no workspace may be served a quarter as often as all: {after:?}"
     );
-    assert!(
-        share(hot.served_in_time, hot.served) > 0.85,
-        "served calls must meet their latency target: {after:?}"
-    );
     assert!(
         share(hot.refused_early, hot.refused) > 0.95,
         "excess calls must be refused early: {after:?}"
     );
 }
 
+/// Guards against a queue that accepts a hot workspace's calls and serves them late.
+#[test]
+fn accepted_calls_of_a_hot_workspace_meet_their_latency_target() {
+    let (_, after) = before_and_after(LONG_TARGET_MS);
+    let hot = after[0];
+    assert!(
+        share(hot.served_in_time, hot.served) > 0.9,
+        "served calls must meet their latency target: {after:?}"
+    );
+}
+
 #[test]
 fn nested_calls_are_served_in_time_as_often_as_without_workspaces() {
     let (before, after) = before_and_after(SHORT_TARGET_MS);
