Serve the stand-in store with hyper: no connection waits for another to close

tiny_http 0.12 hands accepted connections to a pool of threads. A burst of connections that arrives before its idle threads have woken is queued for more threads than exist, and such a connection waits until another one is closed. Four of 32 connections that stay open were answered. Its four workers also read request bodies, so that four clients that are slow to send one stop all calls.

The server now runs on one thread with hyper; a watch is a streamed body. The limit of four requests at once stays, without the time for reading them.

The time-out of creates_each_key_of_a_group_independently isn't explained by this for certain: that test makes its calls one after the other, on connections of its own server.

--- a/crates/sequoiagw-bench/src/commands/footprint.rs
+++ b/crates/sequoiagw-bench/src/commands/footprint.rs
@@ -69,9 +69,7 @@
 async fn measure(nodes: usize, seed: u64) -> eyre::Result<()> {
     let store = MemoryStore::new(seed);
     let server = StoreServer::open(SocketAddr::from(([127, 0, 0, 1], 0)), &store)?;
-    let store_address = server
-        .address()
-        .ok_or_else(|| eyre::eyre!("no store address"))?;
+    let store_address = server.address();
     let processes = start_nodes(nodes, store_address)?;
     apply_change(&store, 0).await?;
     tokio::time::sleep(SETTLE_TIME).await;
--- a/crates/sequoiagw-bench/src/commands/path.rs
+++ b/crates/sequoiagw-bench/src/commands/path.rs
@@ -110,9 +110,7 @@
 ) -> eyre::Result<()> {
     let store = MemoryStore::new(seed);
     let server = StoreServer::open(SocketAddr::from(([127, 0, 0, 1], 0)), &store)?;
-    let store_address = server
-        .address()
-        .ok_or_else(|| eyre::eyre!("no store address"))?;
+    let store_address = server.address();
     let backend = spawn_backend(seed)?;
     let addresses = free_addresses(6)?;
     let entry = addresses[if through_owner { 3 } else { 0 }];
--- a/crates/sequoiagw-standin/src/lib.rs
+++ b/crates/sequoiagw-standin/src/lib.rs
@@ -13,6 +13,7 @@
 mod store_faults;
 mod store_server;
 mod store_state;
+mod watch_body;
 
 pub use backend_http::BackendHttp;
 pub use backend_model::BackendModel;
--- a/crates/sequoiagw-standin/src/store_server.rs
+++ b/crates/sequoiagw-standin/src/store_server.rs
@@ -1,15 +1,26 @@
 //! The store's stand-in over HTTP, with the subset of the etcd v3 JSON gateway that the store's
 //! client uses.
 
-use std::io::Write;
+use std::convert::Infallible;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::rc::Rc;
 
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use http_body_util::Collected;
+use http_body_util::Either;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper::Request;
+use hyper::Response;
+use hyper::StatusCode;
+use hyper_util::rt::TokioIo;
 use sequoiagw_store::decode_base64;
 use sequoiagw_store::encode_base64;
 use sequoiagw_store::parse_u64;
 use sequoiagw_store::GatewayCompare;
-use sequoiagw_store::GatewayEvent;
 use sequoiagw_store::GatewayHeader;
 use sequoiagw_store::GatewayKeyValue;
 use sequoiagw_store::GatewayLease;
@@ -21,8 +32,6 @@
 use sequoiagw_store::GatewayTxn;
 use sequoiagw_store::GatewayTxnReply;
 use sequoiagw_store::GatewayWatch;
-use sequoiagw_store::GatewayWatchLine;
-use sequoiagw_store::GatewayWatchResult;
 use sequoiagw_store::KeyCondition;
 use sequoiagw_store::KeyEntry;
 use sequoiagw_store::LeaseId;
@@ -30,77 +39,124 @@
 use sequoiagw_store::StoreError;
 use sequoiagw_store::StoreReply;
 use sequoiagw_store::StoreRequest;
-use sequoiagw_store::WatchUpdate;
 use serde_json::json;
 use serde_json::Value;
-use tiny_http::Request;
-use tiny_http::Response;
-use tiny_http::Server;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
 use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::Semaphore;
+use tokio::task::LocalSet;
 
+use crate::watch_body::WatchBody;
 use crate::MemoryStore;
 
-/// Maximum number of concurrent requests, watches excluded.
-const WORKER_COUNT: usize = 4;
+/// Maximum number of requests that are answered at once, watches excluded.
+const MAX_CONCURRENT_REQUESTS: usize = 4;
+/// Updates of a watch that wait for its connection.
+const WATCH_CHANNEL_CAPACITY: usize = 16;
 
 /// HTTP server of an in-memory store. It stops when this value is dropped.
+///
+/// All connections are served by one thread, so that a connection that stays open or is slow to
+/// send its request keeps no other connection waiting.
 pub struct StoreServer {
-    server: Arc<Server>,
+    address: SocketAddr,
+    /// Stops the server when dropped.
+    _stop: oneshot::Sender<()>,
 }
 
 impl StoreServer {
     /// Serves a store at an address; port 0 selects any free port.
     ///
-    /// Errors: the address cannot be bound.
+    /// Errors: the address cannot be bound, or the async runtime cannot be built.
     pub fn open(address: SocketAddr, store: &MemoryStore) -> std::io::Result<Self> {
-        let server = Server::http(address).map_err(std::io::Error::other)?;
-        let server = Arc::new(server);
-        for _ in 0..WORKER_COUNT {
-            let server = Arc::clone(&server);
-            let store = store.clone();
-            std::thread::spawn(move || serve(&server, &store));
-        }
-        Ok(Self { server })
+        let listener = std::net::TcpListener::bind(address)?;
+        listener.set_nonblocking(true)?;
+        let address = listener.local_addr()?;
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()?;
+        let (stop, stopped) = oneshot::channel();
+        let store = store.clone();
+        std::thread::spawn(move || {
+            LocalSet::new().block_on(&runtime, async move {
+                tokio::select! {
+                    () = accept(listener, store) => {}
+                    // Resolves with an error when the sender is dropped.
+                    _ = stopped => {}
+                }
+            });
+        });
+        Ok(Self {
+            address,
+            _stop: stop,
+        })
     }
 
-    /// Bound address, or `None` if it isn't an IP address.
-    pub fn address(&self) -> Option<SocketAddr> {
-        self.server.server_addr().to_ip()
+    /// Bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
     }
 }
 
-impl Drop for StoreServer {
-    fn drop(&mut self) {
-        for _ in 0..WORKER_COUNT {
-            self.server.unblock();
-        }
+type ReplyBody = Either<Full<Bytes>, WatchBody>;
+
+/// Accepts connections until the listener fails.
+async fn accept(listener: std::net::TcpListener, store: MemoryStore) {
+    let Ok(listener) = TcpListener::from_std(listener) else {
+        return;
+    };
+    let permits = Rc::new(Semaphore::new(MAX_CONCURRENT_REQUESTS));
+    while let Ok((stream, _)) = listener.accept().await {
+        let permits = Rc::clone(&permits);
+        tokio::task::spawn_local(serve_connection(stream, store.clone(), permits));
     }
 }
 
-fn serve(server: &Server, store: &MemoryStore) {
-    while let Ok(mut request) = server.recv() {
-        let path = request.url().to_owned();
-        let body: Value = serde_json::from_reader(request.as_reader()).unwrap_or(Value::Null);
-        if path == "/v3/watch" {
-            let store = store.clone();
-            std::thread::spawn(move || serve_watch(request, &store, &body));
-            continue;
-        }
-        std::thread::sleep(store.delay());
-        let (status, reply) = match answer(store, &path, &body) {
-            Ok(reply) => (200, reply),
-            Err(error) => error_reply(&error),
-        };
-        let _ = request.respond(Response::from_string(reply.to_string()).with_status_code(status));
+async fn serve_connection(stream: TcpStream, store: MemoryStore, permits: Rc<Semaphore>) {
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(|request| {
+        let store = store.clone();
+        let permits = Rc::clone(&permits);
+        async move { Ok::<_, Infallible>(serve(request, &store, &permits).await) }
+    });
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+async fn serve(
+    request: Request<Incoming>,
+    store: &MemoryStore,
+    permits: &Semaphore,
+) -> Response<ReplyBody> {
+    let path = request.uri().path().to_owned();
+    let body = request.into_body().collect().await;
+    let body = body.map(Collected::to_bytes).unwrap_or_default();
+    let body: Value = serde_json::from_slice(&body).unwrap_or(Value::Null);
+    if path == "/v3/watch" {
+        return Response::new(Either::Right(open_watch(store, &body)));
     }
+    let _permit = permits.acquire().await;
+    tokio::time::sleep(store.delay()).await;
+    let (status, reply) = match answer(store, &path, &body) {
+        Ok(reply) => (StatusCode::OK, reply),
+        Err(error) => error_reply(&error),
+    };
+    let mut response = Response::new(Either::Left(Full::new(reply.to_string().into())));
+    *response.status_mut() = status;
+    response
 }
 
-fn error_reply(error: &StoreError) -> (u16, Value) {
+fn error_reply(error: &StoreError) -> (StatusCode, Value) {
     let (status, code) = match error {
-        StoreError::Unavailable { .. } | StoreError::Superseded { .. } => (503, 14),
-        StoreError::LeaseLapsed { .. } => (404, 5),
-        StoreError::Compacted { .. } => (400, 11),
-        StoreError::Refused { .. } | StoreError::Malformed { .. } => (400, 3),
+        StoreError::Unavailable { .. } | StoreError::Superseded { .. } => {
+            (StatusCode::SERVICE_UNAVAILABLE, 14)
+        }
+        StoreError::LeaseLapsed { .. } => (StatusCode::NOT_FOUND, 5),
+        StoreError::Compacted { .. } => (StatusCode::BAD_REQUEST, 11),
+        StoreError::Refused { .. } | StoreError::Malformed { .. } => (StatusCode::BAD_REQUEST, 3),
     };
     (status, json!({ "error": error.to_string(), "code": code }))
 }
@@ -204,67 +260,13 @@
     Ok(to_json(&reply))
 }
 
-fn serve_watch(request: Request, store: &MemoryStore, body: &Value) {
-    let Ok(runtime) = tokio::runtime::Builder::new_current_thread()
-        .enable_all()
-        .build()
-    else {
-        return;
-    };
+fn open_watch(store: &MemoryStore, body: &Value) -> WatchBody {
     let watch: GatewayWatch = parse(body).unwrap_or_default();
     let key = decode_base64(&watch.create_request.key).unwrap_or_default();
     let from_revision = parse_u64(&watch.create_request.start_revision).unwrap_or(0);
-    let (sender, mut receiver) = mpsc::channel(16);
-    let send_updates = store.clone().run_watch(key, from_revision, sender);
-    let mut writer = request.into_writer();
-    let response_head =
-        "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nTransfer-Encoding: chunked\r\n\r\n";
-    if writer.write_all(response_head.as_bytes()).is_err() {
-        return;
-    }
-    runtime.block_on(async {
-        let write_updates = async {
-            while let Some(update) = receiver.recv().await {
-                let is_last = update.is_err();
-                let line = to_json(&watch_line(update)).to_string() + "\n";
-                let chunk = format!("{:x}\r\n{line}\r\n", line.len());
-                let written = writer
-                    .write_all(chunk.as_bytes())
-                    .and_then(|()| writer.flush());
-                if written.is_err() || is_last {
-                    break;
-                }
-            }
-            let _ = writer.write_all(b"0\r\n\r\n").and_then(|()| writer.flush());
-            receiver.close();
-        };
-        tokio::join!(send_updates, write_updates);
-    });
-}
-
-fn watch_line(update: Result<WatchUpdate, StoreError>) -> GatewayWatchLine {
-    let mut result = GatewayWatchResult::default();
-    match update {
-        Ok(WatchUpdate::Started) => result.created = true,
-        Ok(WatchUpdate::Changed(entry)) => {
-            result.events.push(GatewayEvent {
-                kind: "PUT".to_owned(),
-                kv: gateway_key_value(&entry),
-            });
-        }
-        Ok(WatchUpdate::Deleted) => {
-            result.events.push(GatewayEvent {
-                kind: "DELETE".to_owned(),
-                ..GatewayEvent::default()
-            });
-        }
-        Err(StoreError::Compacted { oldest }) => {
-            result.canceled = true;
-            result.compact_revision = oldest.to_string();
-        }
-        Err(_) => result.canceled = true,
-    }
-    GatewayWatchLine { result }
+    let (sender, receiver) = mpsc::channel(WATCH_CHANNEL_CAPACITY);
+    tokio::task::spawn_local(store.clone().run_watch(key, from_revision, sender));
+    WatchBody::new(receiver)
 }
 
 fn parse<Parsed>(body: &Value) -> Result<Parsed, StoreError>
@@ -274,7 +276,7 @@
     serde_json::from_value(body.clone()).map_err(|error| malformed(&error.to_string()))
 }
 
-fn to_json<Reply>(reply: &Reply) -> Value
+pub(crate) fn to_json<Reply>(reply: &Reply) -> Value
 where
     Reply: serde::Serialize,
 {
@@ -287,7 +289,7 @@
     }
 }
 
-fn gateway_key_value(entry: &KeyEntry) -> GatewayKeyValue {
+pub(crate) fn gateway_key_value(entry: &KeyEntry) -> GatewayKeyValue {
     GatewayKeyValue {
         key: encode_base64(&entry.key),
         value: encode_base64(&entry.value),
--- a/crates/sequoiagw-standin/tests/store_protocol.rs
+++ b/crates/sequoiagw-standin/tests/store_protocol.rs
@@ -25,6 +25,7 @@
 struct StoreFixture {
     store: MemoryStore,
     client: EtcdStore,
+    address: SocketAddr,
     _server: StoreServer,
 }
 
@@ -32,11 +33,12 @@
     let store = MemoryStore::new(1);
     let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
     let server = StoreServer::open(any_port, &store).expect("the address should be bound");
-    let address = server.address().expect("the address should be known");
+    let address = server.address();
     let client = EtcdStore::new(vec![format!("http://{address}")], Duration::from_secs(5));
     StoreFixture {
         store,
         client,
+        address,
         _server: server,
     }
 }
@@ -240,6 +242,50 @@
     }
 }
 
+/// Opens a connection and sends the head of a read request, and its body unless it is `None`.
+fn send_read_request(address: SocketAddr, body: Option<&str>) -> TcpStream {
+    let mut stream = TcpStream::connect(address).expect("the connection should be opened");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(2)))
+        .expect("the timeout should be set");
+    let body_length = body.map_or(2000, str::len);
+    let request = format!(
+        "POST /v3/kv/range HTTP/1.1\r\nHost: store\r\nContent-Length: {body_length}\r\n\r\n{}",
+        body.unwrap_or_default()
+    );
+    stream
+        .write_all(request.as_bytes())
+        .expect("the request should be sent");
+    stream
+}
+
+fn is_answered(stream: &mut TcpStream) -> bool {
+    stream.read(&mut [0; 16]).is_ok_and(|length| length > 0)
+}
+
+/// Guards against connections that are accepted and then wait for a thread until another
+/// connection is closed: a client that keeps its connections open gets no answer.
+#[test]
+fn each_connection_of_a_burst_is_answered_while_the_others_stay_open() {
+    let fixture = store_fixture();
+    let mut streams: Vec<TcpStream> = (0..32)
+        .map(|_| send_read_request(fixture.address, Some(r#"{"key":"YQ=="}"#)))
+        .collect();
+    let answered = streams.iter_mut().map(is_answered);
+    assert_eq!(answered.filter(|answered| *answered).count(), 32);
+}
+
+/// Guards against clients that are slow to send a body and occupy the workers of all others.
+#[test]
+fn incomplete_requests_do_not_delay_others() {
+    let fixture = store_fixture();
+    let _incomplete: Vec<TcpStream> = (0..8)
+        .map(|_| send_read_request(fixture.address, None))
+        .collect();
+    let mut stream = send_read_request(fixture.address, Some(r#"{"key":"YQ=="}"#));
+    assert!(is_answered(&mut stream));
+}
+
 #[test]
 fn http_client_does_not_resend_write_when_pooled_connection_closes() {
     let listener = TcpListener::bind("127.0.0.1:0").expect("the address should be bound");
