Large dispatches aren't overtaken by queries, and unsent ones are refused as not run

A dispatch of more than 16 KiB is sent in parts. The entry's query after 0.3 s overtook it, the owner barred a call that it had never heard of, and the silence reset the link that was sending it.

The links now record the dispatches that have not been sent whole, for all links together. A query for one isn't sent: the entry learns that the call is pending here and asks again 0.3 s later, without a reset. A cancellation removes what is left. At the call's deadline the entry withdraws the dispatch; if it was removed before its last part, the call is refused with body_unsent (503, has not run). A dispatch on a link that breaks halfway is reported as undelivered. The receiver drops the parts of a withdrawn dispatch when an empty first part of another frame follows.

Joined frames may have 8 MiB and 256 KiB, so that a body of 8 MiB fits with its headers. The handshake moves out of tcp_links.rs.

--- a/crates/sequoiagw-mesh/src/core_actions.rs
+++ b/crates/sequoiagw-mesh/src/core_actions.rs
@@ -42,6 +42,9 @@
                         self.actions.push(MeshAction::ResetLink(address));
                     }
                 }
+                CallAction::Withdraw(dispatch) => {
+                    self.actions.push(MeshAction::Withdraw(dispatch));
+                }
                 CallAction::Reply(call, reply) => {
                     self.actions.push(MeshAction::Reply(call, reply));
                 }
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -70,6 +70,18 @@
         self.process_actions(now);
     }
 
+    /// Handles a query that the links didn't send, since its dispatch hasn't been sent whole.
+    pub fn on_dispatch_unsent(&mut self, dispatch: u64, now: Instant) {
+        self.calls.entry.on_dispatch_unsent(dispatch, now);
+        self.process_actions(now);
+    }
+
+    /// Handles the removal of a dispatch that hadn't been sent whole.
+    pub fn on_dispatch_withdrawn(&mut self, dispatch: u64, now: Instant) {
+        self.calls.entry.on_dispatch_withdrawn(dispatch);
+        self.process_actions(now);
+    }
+
     /// Handles the body of a frame from a node, which may be this node itself.
     pub(crate) fn on_frame_body(&mut self, from: NodeId, boot: u64, body: FrameBody, now: Instant) {
         match body {
--- a/crates/sequoiagw-mesh/src/mesh_action.rs
+++ b/crates/sequoiagw-mesh/src/mesh_action.rs
@@ -13,6 +13,8 @@
     Send(NodeAddress, Box<PeerFrame>),
     /// Close the link to the peer at an address and open a new one.
     ResetLink(NodeAddress),
+    /// Remove the dispatch with this id unless it has been sent whole.
+    Withdraw(u64),
     /// Send a call to the backend server.
     Run(Box<RunRequest>),
     /// Abort a run at the backend server.
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -190,6 +190,12 @@
             CoreEvent::Undelivered(address, frames) => {
                 self.with_core(|core, now| core.on_undelivered(address, &frames, now));
             }
+            CoreEvent::DispatchUnsent(dispatch) => {
+                self.with_core(|core, now| core.on_dispatch_unsent(dispatch, now));
+            }
+            CoreEvent::DispatchWithdrawn(dispatch) => {
+                self.with_core(|core, now| core.on_dispatch_withdrawn(dispatch, now));
+            }
             CoreEvent::RunFinished(run, result) => {
                 self.with_core(|core, now| core.on_run_finished(run, result, now));
             }
@@ -221,6 +227,7 @@
         match action {
             MeshAction::Send(address, frame) => inner.links.send(address, *frame),
             MeshAction::ResetLink(address) => inner.links.reset(address),
+            MeshAction::Withdraw(dispatch) => inner.links.withdraw(dispatch),
             MeshAction::Run(request) => {
                 let serving = inner.core.target().serving(Instant::now());
                 let instance = serving.map(|(incarnation, _)| incarnation.instance.clone());
--- a/crates/sequoiagw-node/src/call_machines.rs
+++ b/crates/sequoiagw-node/src/call_machines.rs
@@ -33,6 +33,8 @@
     Send(NodeId, FrameBody),
     /// Replace the link to a node by a new one.
     ResetLink(NodeId),
+    /// Remove the dispatch with this id unless it has been sent whole.
+    Withdraw(u64),
     /// Reply to the caller of the call with this id.
     Reply(u64, CallerReply),
     /// Run a call at the backend server.
@@ -214,6 +216,7 @@
                 self.counters.count("link.reset");
                 actions.push(CallAction::ResetLink(node));
             }
+            EntryAction::Withdraw(dispatch) => actions.push(CallAction::Withdraw(dispatch)),
             EntryAction::Reply(call, reply) => {
                 if let Err(kind) = reply.outcome {
                     self.counters.count_refusal(kind.rule().name);
--- a/crates/sequoiagw-node/src/core_action.rs
+++ b/crates/sequoiagw-node/src/core_action.rs
@@ -33,6 +33,8 @@
     Send(NodeAddress, Box<PeerFrame>),
     /// Drop the link to a peer, so that the next frame opens a new one.
     ResetLink(NodeAddress),
+    /// Remove the dispatch with this id unless it has been sent whole.
+    Withdraw(u64),
     /// Run a call at the backend server.
     Run(Box<RunRequest>),
     /// Abort a run at the backend server.
--- a/crates/sequoiagw-node/src/core_event.rs
+++ b/crates/sequoiagw-node/src/core_event.rs
@@ -56,6 +56,11 @@
     LinkLost(NodeAddress),
     /// These frames were never written to a link, for example because connecting failed.
     Undelivered(NodeAddress, Vec<PeerFrame>),
+    /// The outcome of the dispatch with this id was queried, but it hasn't been sent whole; the
+    /// query wasn't sent.
+    DispatchUnsent(u64),
+    /// The dispatch with this id was removed before it had been sent whole, so it never runs.
+    DispatchWithdrawn(u64),
     /// A call to the store has finished.
     StoreReplied {
         /// Purpose of the call.
--- a/crates/sequoiagw-node/src/core_settle.rs
+++ b/crates/sequoiagw-node/src/core_settle.rs
@@ -152,6 +152,9 @@
                         self.actions.push(CoreAction::ResetLink(address));
                     }
                 }
+                CallAction::Withdraw(dispatch) => {
+                    self.actions.push(CoreAction::Withdraw(dispatch));
+                }
                 CallAction::Reply(call, reply) => {
                     self.actions.push(CoreAction::Reply(call, reply));
                 }
--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -260,6 +260,12 @@
                 }
             }
             CoreEvent::Undelivered(address, frames) => self.on_undelivered(address, &frames, now),
+            CoreEvent::DispatchUnsent(dispatch) => {
+                self.calls.entry.on_dispatch_unsent(dispatch, now);
+            }
+            CoreEvent::DispatchWithdrawn(dispatch) => {
+                self.calls.entry.on_dispatch_withdrawn(dispatch);
+            }
             CoreEvent::StoreReplied {
                 tag,
                 request,
--- a/crates/sequoiagw-node/src/node_edges.rs
+++ b/crates/sequoiagw-node/src/node_edges.rs
@@ -29,6 +29,10 @@
         Duration::ZERO
     }
 
+    /// Removes a dispatch that hasn't been sent whole, which is reported as
+    /// [`CoreEvent::DispatchWithdrawn`]. Nothing is reported of any other dispatch.
+    fn withdraw(&self, _dispatch: u64) {}
+
     /// Drops the link to a node, so that the next frame opens a new one.
     fn reset(&self, to: NodeAddress);
 }
--- a/crates/sequoiagw-node/src/node_handle.rs
+++ b/crates/sequoiagw-node/src/node_handle.rs
@@ -235,6 +235,7 @@
         let mut inner = self.inner.borrow_mut();
         match action {
             CoreAction::Send(address, frame) => inner.dependencies.links.send(address, *frame),
+            CoreAction::Withdraw(dispatch) => inner.dependencies.links.withdraw(dispatch),
             CoreAction::ResetLink(address) => inner.dependencies.links.reset(address),
             CoreAction::Run(request) => {
                 if let Some(address) = inner
--- a/crates/sequoiagw-node/src/part_joiner.rs
+++ b/crates/sequoiagw-node/src/part_joiner.rs
@@ -10,8 +10,8 @@
 use thiserror::Error;
 use tracing::warn;
 
-/// Largest frame that is joined, in bytes. It has to fit the largest body with its headers.
-const MAX_JOINED_BYTES: usize = 8 * 1024 * 1024;
+/// Largest frame that is joined, in bytes: a body of 8 MiB with its headers.
+const MAX_JOINED_BYTES: usize = 8 * 1024 * 1024 + 256 * 1024;
 
 /// Error in the parts of a frame, after which the link can't be used any more.
 #[derive(Debug, Error)]
--- a/crates/sequoiagw-node/src/send_queue.rs
+++ b/crates/sequoiagw-node/src/send_queue.rs
@@ -17,6 +17,7 @@
 use tokio::time::Instant;
 
 use crate::SendPacer;
+use crate::UnsentDispatches;
 
 /// Time past a call's deadline, as its owner knows it, for which its entry may still deliver the
 /// answer.
@@ -36,6 +37,9 @@
     transfers: u64,
     splits_frames: bool,
     pacer: Rc<SendPacer>,
+    unsent: Rc<UnsentDispatches>,
+    /// Sender and boot of a dispatch that was withdrawn after some of its parts had been sent.
+    withdrawn: Option<(u64, u64)>,
 }
 
 /// A large frame of which nothing has been sent.
@@ -54,6 +58,8 @@
     expires_at: Option<Instant>,
     sender: u64,
     boot: u64,
+    /// The frame if it is a dispatch, which is undelivered until its last part has been sent.
+    dispatch: Option<PeerFrame>,
     left: Bytes,
 }
 
@@ -75,17 +81,36 @@
             transfers: 0,
             splits_frames,
             pacer,
+            unsent: Rc::default(),
+            withdrawn: None,
         }
     }
 
-    /// Adds a frame. An answer that is being sent already isn't sent twice: the receiver, which
-    /// has queried the call, is told that the answer is pending.
+    /// Sets where the dispatches that have not been sent whole are recorded, for all links together.
+    #[must_use]
+    pub fn with_unsent(mut self, unsent: Rc<UnsentDispatches>) -> Self {
+        self.unsent = unsent;
+        self
+    }
+
+    /// Adds a frame. A dispatch that was withdrawn is dropped. An answer that is being sent already
+    /// isn't sent twice: the receiver, which has queried the call, is told that the answer is
+    /// pending.
     pub fn push(&mut self, frame: PeerFrame, now: Instant) {
+        let dispatch = dispatch_id(&frame);
+        if dispatch.is_some_and(|id| self.unsent.is_withdrawn(id)) {
+            self.forget_dispatch(&frame);
+            return;
+        }
         let bytes = frame.encoded_len();
         if !self.splits_frames || bytes <= LARGE_FRAME_BYTES {
+            self.forget_dispatch(&frame);
             self.small.push_back(frame);
             return;
         }
+        if let Some(id) = dispatch {
+            self.unsent.add(id);
+        }
         if answered_call(&frame).is_some_and(|call| self.is_sending(call)) {
             self.small.extend(pending_answer(frame));
             return;
@@ -106,16 +131,20 @@
 
     /// Whether a large frame waits or is incomplete.
     pub fn has_large(&self) -> bool {
-        self.transfer.is_some() || !self.large.is_empty()
+        self.transfer.is_some() || !self.large.is_empty() || self.withdrawn.is_some()
     }
 
     /// Removes and returns the next part of a large frame. An answer whose caller has stopped
-    /// waiting is dropped, so that it doesn't make the answers behind it late as well.
+    /// waiting is dropped, so that it doesn't make the answers behind it late as well, and so is a
+    /// dispatch that was withdrawn.
     pub fn pop_part(&mut self, now: Instant) -> Option<PeerFrame> {
         self.drop_expired(now);
+        self.drop_withdrawn();
         if self.transfer.is_none() {
-            let next = self.large.pop_front()?;
-            self.start_transfer(&next);
+            let Some(next) = self.large.pop_front() else {
+                return self.end_withdrawn();
+            };
+            self.start_transfer(next);
         }
         let transfer = self.transfer.as_mut()?;
         let length = transfer.left.len().min(LARGE_FRAME_BYTES);
@@ -127,14 +156,21 @@
         };
         let sender = NodeId::from(transfer.sender);
         let frame = PeerFrame::new(sender, transfer.boot, FrameBody::Part(part));
-        self.transfer.take_if(|transfer| transfer.left.is_empty());
+        let ended = self
+            .transfer
+            .take_if(|transfer| transfer.left.is_empty())
+            .and_then(|transfer| transfer.dispatch);
+        if let Some(dispatch) = ended {
+            self.forget_dispatch(&dispatch);
+        }
         Some(frame)
     }
 
-    /// Removes and returns the frames of which nothing has been sent.
+    /// Removes and returns the frames of which nothing has been sent, and a dispatch of which the
+    /// last part hasn't been sent, since it can't have run.
     pub fn take_unsent(&mut self) -> Vec<PeerFrame> {
-        self.drop_transfer();
-        let mut unsent: Vec<PeerFrame> = self.small.drain(..).collect();
+        let mut unsent: Vec<PeerFrame> = self.drop_transfer().into_iter().collect();
+        unsent.extend(self.small.drain(..));
         while let Some(large) = self.large.pop_front() {
             self.pacer.remove_waiting(large.bytes);
             unsent.push(large.frame);
@@ -142,8 +178,9 @@
         unsent
     }
 
-    fn start_transfer(&mut self, large: &LargeFrame) {
+    fn start_transfer(&mut self, large: LargeFrame) {
         self.transfers += 1;
+        self.withdrawn = None;
         self.transfer = Some(FrameTransfer {
             number: self.transfers,
             answered_call: answered_call(&large.frame),
@@ -151,9 +188,53 @@
             sender: large.frame.sender,
             boot: large.frame.boot,
             left: large.frame.encode_to_vec().into(),
+            dispatch: dispatch_id(&large.frame).map(|_| large.frame),
         });
     }
 
+    /// First part of a frame that doesn't follow, with which the receiver drops the parts of the
+    /// dispatch that was withdrawn. They would use its memory until the next large frame.
+    fn end_withdrawn(&mut self) -> Option<PeerFrame> {
+        let (sender, boot) = self.withdrawn.take()?;
+        self.transfers += 1;
+        let part = FramePart {
+            transfer: self.transfers,
+            bytes: Bytes::new(),
+            last: false,
+        };
+        let sender = NodeId::from(sender);
+        Some(PeerFrame::new(sender, boot, FrameBody::Part(part)))
+    }
+
+    /// Drops the dispatches that were withdrawn.
+    fn drop_withdrawn(&mut self) {
+        let is_withdrawn = |frame: &PeerFrame| {
+            dispatch_id(frame).is_some_and(|dispatch| self.unsent.is_withdrawn(dispatch))
+        };
+        let sent = self.transfer.as_ref();
+        let dispatch = sent.and_then(|transfer| transfer.dispatch.as_ref());
+        let ends_transfer = dispatch.is_some_and(is_withdrawn);
+        let large = std::mem::take(&mut self.large);
+        let (dropped, kept): (VecDeque<_>, VecDeque<_>) = large
+            .into_iter()
+            .partition(|large| is_withdrawn(&large.frame));
+        self.large = kept;
+        for large in dropped {
+            self.pacer.remove_waiting(large.bytes);
+            self.forget_dispatch(&large.frame);
+        }
+        if let Some(dispatch) = ends_transfer.then(|| self.drop_transfer()).flatten() {
+            self.withdrawn = Some((dispatch.sender, dispatch.boot));
+            self.forget_dispatch(&dispatch);
+        }
+    }
+
+    fn forget_dispatch(&self, frame: &PeerFrame) {
+        if let Some(dispatch) = dispatch_id(frame) {
+            self.unsent.remove(dispatch);
+        }
+    }
+
     fn drop_expired(&mut self, now: Instant) {
         let is_expired = |expires_at: Option<Instant>| expires_at.is_some_and(|time| time <= now);
         let transfer_expires = self.transfer.as_ref().and_then(|sent| sent.expires_at);
@@ -170,10 +251,11 @@
         });
     }
 
-    fn drop_transfer(&mut self) {
-        if let Some(transfer) = self.transfer.take() {
-            self.pacer.remove_waiting(transfer.left.len());
-        }
+    /// Drops the frame that is being sent, and returns it if it is a dispatch.
+    fn drop_transfer(&mut self) -> Option<PeerFrame> {
+        let transfer = self.transfer.take()?;
+        self.pacer.remove_waiting(transfer.left.len());
+        transfer.dispatch
     }
 
     fn is_sending(&self, call: AnsweredCall) -> bool {
@@ -185,7 +267,17 @@
 
 impl Drop for SendQueue {
     fn drop(&mut self) {
-        self.take_unsent();
+        for frame in self.take_unsent() {
+            self.forget_dispatch(&frame);
+        }
+    }
+}
+
+/// Id of a dispatch, `None` for another frame.
+pub(crate) fn dispatch_id(frame: &PeerFrame) -> Option<u64> {
+    match &frame.body {
+        Some(FrameBody::Dispatch(dispatch)) => Some(dispatch.call),
+        _ => None,
     }
 }
 
--- a/crates/sequoiagw-node/src/tcp_links.rs
+++ b/crates/sequoiagw-node/src/tcp_links.rs
@@ -10,42 +10,40 @@
 use futures_util::StreamExt;
 use prost::Message;
 use rand::Rng;
-use sequoiagw_http::set_socket_options;
 use sequoiagw_http::BufferBudget;
 use sequoiagw_protocol::FrameBody;
-use sequoiagw_protocol::FrameCodec;
 use sequoiagw_protocol::LinkHello;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PeerFrame;
 use sequoiagw_protocol::LARGE_FRAME_BYTES;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio::time::Instant;
-use tokio_util::codec::FramedRead;
-use tokio_util::codec::FramedWrite;
 use tracing::debug;
 use tracing::warn;
 
+use crate::link_handshake::EstablishedLink;
+use crate::link_handshake::LinkPeer;
+use crate::link_handshake::LinkReader;
+use crate::link_handshake::LinkWriter;
 use crate::link_table::LinkTable;
 use crate::link_table::QueueEnds;
 use crate::link_table::QueueOutcome;
 use crate::part_joiner::PartJoiner;
+use crate::send_queue::dispatch_id;
 use crate::send_queue::SendQueue;
 use crate::CoreEvent;
 use crate::EventSender;
 use crate::PeerLinks;
 use crate::SendPacer;
+use crate::UnsentDispatches;
 
 /// Time limit for opening a connection, including the exchange of hello frames.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time after which TCP closes the connection to an unresponsive peer.
-const PEER_TIMEOUT: Duration = Duration::from_secs(3);
 /// Time without a frame after which the node that opened a link closes it.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// Number of concurrent handshakes on incoming links, limited so that many nodes that reconnect at
@@ -64,17 +62,10 @@
     hello: Rc<PeerFrame>,
     events: EventSender,
     pacer: Rc<SendPacer>,
+    unsent: Rc<UnsentDispatches>,
     budget: BufferBudget,
 }
 
-/// Peer at the other end of a link.
-#[derive(Clone, Copy, Debug)]
-struct LinkPeer {
-    address: NodeAddress,
-    boot: u64,
-    joins_parts: bool,
-}
-
 impl TcpLinks {
     /// Creates the links of a node that accepts connections at `address`.
     pub fn new(
@@ -93,6 +84,7 @@
             hello: Rc::new(PeerFrame::new(node, boot, hello)),
             events,
             pacer: Rc::new(pacer),
+            unsent: Rc::default(),
             budget: BufferBudget::unlimited(),
         }
     }
@@ -118,9 +110,9 @@
                         let handshake =
                             timeout(CONNECT_TIMEOUT, links.exchange_hellos(stream)).await;
                         drop(permit);
-                        if let Ok(Some((reader, writer, peer))) = handshake {
-                            let ends = links.table.borrow_mut().register(peer.address);
-                            links.serve(peer, reader, writer, ends, false).await;
+                        if let Ok(Some(link)) = handshake {
+                            let ends = links.table.borrow_mut().register(link.peer.address);
+                            links.serve(link, ends, false).await;
                         }
                     });
                 }
@@ -132,42 +124,13 @@
         }
     }
 
-    /// Exchanges hello frames. Returns `None` if the connection fails or the other end sends no valid
-    /// hello frame.
-    async fn exchange_hellos(
-        &self,
-        stream: TcpStream,
-    ) -> Option<(LinkReader, LinkWriter, LinkPeer)> {
-        set_socket_options(&stream, PEER_TIMEOUT).ok()?;
-        let (read_half, write_half) = stream.into_split();
-        let mut reader = FramedRead::new(read_half, FrameCodec::default());
-        let mut writer = FramedWrite::new(write_half, FrameCodec::default());
-        writer.send(&*self.hello).await.ok()?;
-        let frame = match reader.next().await? {
-            Ok(frame) => frame,
-            Err(error) => {
-                warn!(event = "link_refused", reason = "bad_greeting", error = %error);
-                return None;
-            }
-        };
-        let Some(FrameBody::Hello(hello)) = &frame.body else {
-            warn!(event = "link_refused", reason = "no_greeting");
-            return None;
-        };
-        let address = NodeAddress::parse(&hello.address)?;
+    async fn exchange_hellos(&self, stream: TcpStream) -> Option<EstablishedLink> {
+        let link = EstablishedLink::open(stream, &self.hello).await?;
         let _ = self.events.send(CoreEvent::LinkEstablished {
-            node: frame.sender_id(),
-            boot: frame.boot,
+            node: link.peer.node,
+            boot: link.peer.boot,
         });
-        Some((
-            reader,
-            writer,
-            LinkPeer {
-                address,
-                boot: frame.boot,
-                joins_parts: hello.joins_parts,
-            },
-        ))
+        Some(link)
     }
 
     async fn connect(self, address: NodeAddress, mut ends: QueueEnds) {
@@ -176,8 +139,8 @@
             self.exchange_hellos(stream).await
         });
         match handshake.await {
-            Ok(Some((reader, writer, peer))) if peer.address == address => {
-                self.serve(peer, reader, writer, ends, true).await;
+            Ok(Some(link)) if link.peer.address == address => {
+                self.serve(link, ends, true).await;
             }
             _ => {
                 let delay = RETRY_DELAY.mul_f64(rand::rng().random_range(0.5..1.5));
@@ -190,7 +153,7 @@
                 while let Ok(frame) = ends.receiver.try_recv() {
                     frames.push(frame);
                 }
-                let _ = self.events.send(CoreEvent::Undelivered(address, frames));
+                self.report_undelivered(address, frames);
             }
         }
     }
@@ -198,21 +161,20 @@
     /// Transfers frames in both directions until the link ends. Reading and writing don't wait for
     /// each other: two nodes that send each other more than a connection buffers would stop
     /// otherwise.
-    async fn serve(
-        &self,
-        peer: LinkPeer,
-        reader: LinkReader,
-        writer: LinkWriter,
-        ends: QueueEnds,
-        opened_here: bool,
-    ) {
+    async fn serve(&self, link: EstablishedLink, ends: QueueEnds, opened_here: bool) {
+        let EstablishedLink {
+            reader,
+            writer,
+            peer,
+        } = link;
         let QueueEnds {
             id,
             mut receiver,
             reset,
         } = ends;
         let last_frame = Cell::new(Instant::now());
-        let mut queue = SendQueue::new(peer.joins_parts, Rc::clone(&self.pacer));
+        let mut queue = SendQueue::new(peer.joins_parts, Rc::clone(&self.pacer))
+            .with_unsent(Rc::clone(&self.unsent));
         let lost = tokio::select! {
             () = self.read_frames(reader, peer, &last_frame) => true,
             () = self.write_frames(writer, &mut receiver, &mut queue, peer, &last_frame) => true,
@@ -230,12 +192,38 @@
             let _ = self.events.send(CoreEvent::LinkLost(peer.address));
         }
         if !unsent.is_empty() {
-            let _ = self
-                .events
-                .send(CoreEvent::Undelivered(peer.address, unsent));
+            self.report_undelivered(peer.address, unsent);
         }
     }
 
+    /// Reports frames that were never sent whole, without the dispatches that were withdrawn.
+    fn report_undelivered(&self, address: NodeAddress, mut frames: Vec<PeerFrame>) {
+        let unsent = &self.unsent;
+        frames.retain(|frame| {
+            let withdrawn = dispatch_id(frame).is_some_and(|dispatch| unsent.remove(dispatch));
+            !withdrawn
+        });
+        let _ = self.events.send(CoreEvent::Undelivered(address, frames));
+    }
+
+    /// Returns a frame that has to be sent. A query or cancellation that would overtake its dispatch
+    /// isn't: the owner would bar a call that it has never heard of, and the transfer would be for
+    /// nothing.
+    fn check_order(&self, frame: PeerFrame) -> Option<PeerFrame> {
+        match &frame.body {
+            Some(FrameBody::Dispatch(dispatch)) if frame.encoded_len() > LARGE_FRAME_BYTES => {
+                self.unsent.add(dispatch.call);
+            }
+            Some(FrameBody::Query(query)) if self.unsent.is_waiting(query.call) => {
+                let _ = self.events.send(CoreEvent::DispatchUnsent(query.call));
+                return None;
+            }
+            Some(FrameBody::Cancel(cancel)) if self.unsent.withdraw(cancel.call) => return None,
+            _ => {}
+        }
+        Some(frame)
+    }
+
     /// Reports the frames that arrive until the link fails.
     async fn read_frames(
         &self,
@@ -316,18 +304,13 @@
 
     fn queue_frame(&self, frame: PeerFrame, queue: &mut SendQueue, peer: LinkPeer) {
         if is_for_other_boot(&frame, peer.boot) {
-            let _ = self
-                .events
-                .send(CoreEvent::Undelivered(peer.address, vec![frame]));
+            self.report_undelivered(peer.address, vec![frame]);
         } else {
             queue.push(frame, Instant::now());
         }
     }
 }
 
-type LinkReader = FramedRead<OwnedReadHalf, FrameCodec>;
-type LinkWriter = FramedWrite<OwnedWriteHalf, FrameCodec>;
-
 /// Sleeps until a time, or forever without one.
 async fn sleep_until(time: Option<Instant>) {
     match time {
@@ -356,11 +339,14 @@
 
 impl PeerLinks for TcpLinks {
     fn send(&self, to: NodeAddress, frame: PeerFrame) {
+        let Some(frame) = self.check_order(frame) else {
+            return;
+        };
         let outcome = self.table.borrow().queue(to, frame, Instant::now());
         match outcome {
             QueueOutcome::Queued => {}
             QueueOutcome::Unreachable(frame) => {
-                let _ = self.events.send(CoreEvent::Undelivered(to, vec![*frame]));
+                self.report_undelivered(to, vec![*frame]);
             }
             QueueOutcome::NoLink(frame) => {
                 let mut table = self.table.borrow_mut();
@@ -377,6 +363,12 @@
         self.pacer.large_frame_wait()
     }
 
+    fn withdraw(&self, dispatch: u64) {
+        if self.unsent.withdraw(dispatch) {
+            let _ = self.events.send(CoreEvent::DispatchWithdrawn(dispatch));
+        }
+    }
+
     fn reset(&self, to: NodeAddress) {
         self.table.borrow_mut().reset(to);
     }
--- a/crates/sequoiagw-policy/src/entry_action.rs
+++ b/crates/sequoiagw-policy/src/entry_action.rs
@@ -15,6 +15,8 @@
     Send(NodeId, FrameBody),
     /// Replace the link to a node by a new one.
     ResetLink(NodeId),
+    /// Remove the dispatch with this id unless it has been sent whole.
+    Withdraw(u64),
     /// Reply to the caller of the call with this id.
     Reply(u64, CallerReply),
     /// Record that a request ran well.
--- a/crates/sequoiagw-policy/src/entry_call.rs
+++ b/crates/sequoiagw-policy/src/entry_call.rs
@@ -133,6 +133,11 @@
 /// Phase of a call at its entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum EntryPhase {
+    /// The dispatch is large and may not have been sent whole; the owner may not know the call.
+    Sending,
+    /// The deadline has passed during [`Self::Sending`]; the dispatch is removed, unless it has been
+    /// sent whole meanwhile.
+    Withdrawing,
     /// Dispatched; the owner's answer is awaited.
     AwaitingAnswer,
     /// The owner hasn't answered in time and has been queried about the call.
@@ -150,6 +155,8 @@
     /// Name of the phase in logs.
     pub(crate) const fn name(self) -> &'static str {
         match self {
+            Self::Sending => "sending",
+            Self::Withdrawing => "withdrawing",
             Self::AwaitingAnswer => "awaiting_answer",
             Self::Querying { .. } => "querying",
             Self::NotDispatched => "not_dispatched",
--- a/crates/sequoiagw-policy/src/entry_dispatch.rs
+++ b/crates/sequoiagw-policy/src/entry_dispatch.rs
@@ -6,6 +6,7 @@
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::WaitLimit;
+use sequoiagw_protocol::LARGE_FRAME_BYTES;
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
@@ -85,10 +86,16 @@
         entry_call.tried_nodes.push(node);
         entry_call.target = Some(target);
         let dispatch = dispatch_message(entry_call, redirected, now);
+        let is_large = dispatch.body.len() > LARGE_FRAME_BYTES;
         self.balancer.on_dispatch(node);
         self.actions
             .push(EntryAction::Send(node, FrameBody::Dispatch(dispatch)));
-        self.set_phase(call, EntryPhase::AwaitingAnswer, now + ANSWER_TIMEOUT);
+        let phase = if is_large {
+            EntryPhase::Sending
+        } else {
+            EntryPhase::AwaitingAnswer
+        };
+        self.set_phase(call, phase, now + ANSWER_TIMEOUT);
     }
 }
 
--- a/crates/sequoiagw-policy/src/entry_failures.rs
+++ b/crates/sequoiagw-policy/src/entry_failures.rs
@@ -45,6 +45,25 @@
         self.retry(call, kind, RetryReason::Undelivered, now);
     }
 
+    /// Handles a query that wasn't sent, since its dispatch hasn't been sent whole: the call is
+    /// pending at this node.
+    pub fn on_dispatch_unsent(&mut self, dispatch: u64, now: Instant) {
+        let Some(call) = self.calls_by_dispatch.get(&dispatch).copied() else {
+            return;
+        };
+        if self.calls[&call].phase != EntryPhase::Withdrawing {
+            self.set_phase(call, EntryPhase::Sending, now + ANSWER_TIMEOUT);
+        }
+    }
+
+    /// Refuses a call whose dispatch was removed before it had been sent whole, so that it can't
+    /// have run.
+    pub fn on_dispatch_withdrawn(&mut self, dispatch: u64) {
+        if let Some(call) = self.calls_by_dispatch.get(&dispatch).copied() {
+            self.reply(call, Err(ErrorKind::BodyUnsent));
+        }
+    }
+
     /// Whether a dispatch follows an earlier one that may have reached a backend server.
     pub fn is_retry(&self, dispatch: u64, node: NodeId) -> bool {
         let call = self.call_of_dispatch(dispatch, node);
@@ -90,10 +109,16 @@
                 self.reply(call, Err(ErrorKind::DeadlineQueued));
             }
             EntryPhase::NotDispatched => self.dispatch(call, now),
+            EntryPhase::Sending if now >= entry_call.deadline => {
+                let dispatch = entry_call.dispatch_id;
+                self.actions.push(EntryAction::Withdraw(dispatch));
+                self.set_phase(call, EntryPhase::Withdrawing, now + DEADLINE_GRACE);
+            }
+            EntryPhase::Withdrawing => self.reply(call, Err(ErrorKind::DeadlineRunning)),
             _ if now >= entry_call.deadline + DEADLINE_GRACE => {
                 self.reply(call, Err(ErrorKind::DeadlineRunning));
             }
-            EntryPhase::AwaitingAnswer => self.query_owner(call, 0, now),
+            EntryPhase::Sending | EntryPhase::AwaitingAnswer => self.query_owner(call, 0, now),
             EntryPhase::Querying {
                 queried_at,
                 repeats,
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -331,7 +331,9 @@
         self.wake_times.remove(&(entry_call.wake_at, call));
         entry_call.phase = phase;
         let latest = match phase {
-            EntryPhase::NotDispatched => entry_call.deadline,
+            EntryPhase::NotDispatched | EntryPhase::Sending => entry_call.deadline,
+            // The removal may be requested late.
+            EntryPhase::Withdrawing => wake,
             _ => entry_call.deadline + DEADLINE_GRACE,
         };
         entry_call.wake_at = wake.min(latest);
--- a/crates/sequoiagw-protocol/src/error_kind.rs
+++ b/crates/sequoiagw-protocol/src/error_kind.rs
@@ -131,6 +131,8 @@
     VersionHeld = 27 => 503, No, true, "version_held", "The target's software version gets no requests now; retry.";
     /// The node that counts the workspace's quota didn't answer in time.
     QuotaUnavailable = 28 => 503, No, false, "quota_unavailable", "The workspace's quota can't be checked now; retry after the given time.";
+    /// The request's body couldn't be sent to its target by the deadline.
+    BodyUnsent = 29 => 503, No, false, "body_unsent", "The body couldn't be sent to its backend server in time; retry after the given time.";
 }
 
 impl std::fmt::Display for ErrorKind {
