Large dispatches are offered, and sent as their receiver grants them

Senders paced their own links only. Bodies from many senders at once filled the receiver's link, and small frames to it waited behind them: eight senders of 10 Mbit/s reach 8.1 MB/s at one receiver of 10 Mbit/s.

Between nodes that both say so in LinkHello, a large dispatch is announced with a TransferOffer. The receiver grants parts over all its links together, at 0.85 of its bandwidth and in the order of the offers, with four open grants at most. A part that is granted and doesn't come for 0.5 s no longer counts, and its transfer gets no others until it does, so that a paused sender doesn't stop the rest. An offer behind a longer backlog than its due time, over the joined limit or without room in memory is refused; the entry tries each other target once and then refuses with body_unsent. An offer of 0 bytes withdraws an earlier one. The platform's nodes grant where their settings name link_mbps.

--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -76,6 +76,13 @@
         self.process_actions(now);
     }
 
+    /// Handles the refusal of a dispatch by its receiver, before any of it was sent.
+    pub fn on_dispatch_refused(&mut self, dispatch: u64, now: Instant) {
+        self.counters.count("transfer.refused");
+        self.calls.entry.on_dispatch_refused(dispatch, now);
+        self.process_actions(now);
+    }
+
     /// Handles the removal of a dispatch that hadn't been sent whole.
     pub fn on_dispatch_withdrawn(&mut self, dispatch: u64, now: Instant) {
         self.calls.entry.on_dispatch_withdrawn(dispatch);
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -193,6 +193,9 @@
             CoreEvent::DispatchUnsent(dispatch) => {
                 self.with_core(|core, now| core.on_dispatch_unsent(dispatch, now));
             }
+            CoreEvent::DispatchRefused(dispatch) => {
+                self.with_core(|core, now| core.on_dispatch_refused(dispatch, now));
+            }
             CoreEvent::DispatchWithdrawn(dispatch) => {
                 self.with_core(|core, now| core.on_dispatch_withdrawn(dispatch, now));
             }
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -9,6 +9,7 @@
 use sequoiagw_http::BufferBudget;
 use sequoiagw_http::ServerPhase;
 use sequoiagw_node::NodeCounters;
+use sequoiagw_node::ReceivePacer;
 use sequoiagw_node::SendPacer;
 use sequoiagw_node::TcpLinks;
 use sequoiagw_protocol::NodeAddress;
@@ -91,8 +92,11 @@
     let pacer = SendPacer::new(settings.link_mbps);
     let budget =
         BufferBudget::new(u64::from(settings.memory_mb) * BYTES_PER_MIB / BODY_MEMORY_PART);
-    let links =
+    let mut links =
         TcpLinks::new(node, boot, address, events.clone(), pacer).with_budget(budget.clone());
+    if settings.link_mbps > 0 {
+        links = links.with_grants(ReceivePacer::new(settings.link_mbps, budget.clone()));
+    }
     let header_names = *dependencies.format.headers();
     let backend = MeshBackend::new(settings.backend.address, header_names, events)
         .with_budget(budget.clone());
--- a/crates/sequoiagw-node/src/core_event.rs
+++ b/crates/sequoiagw-node/src/core_event.rs
@@ -38,7 +38,7 @@
         /// Length of the frame on the wire, in bytes.
         bytes: usize,
     },
-    /// A part of a large frame arrived from a peer.
+    /// A part of a large frame, or a message about its transfer, arrived from a peer.
     PartReceived {
         /// Node at the other end.
         node: NodeId,
@@ -61,6 +61,8 @@
     DispatchUnsent(u64),
     /// The dispatch with this id was removed before it had been sent whole, so it never runs.
     DispatchWithdrawn(u64),
+    /// The receiver refused the dispatch with this id, of which nothing has been sent.
+    DispatchRefused(u64),
     /// A call to the store has finished.
     StoreReplied {
         /// Purpose of the call.
--- a/crates/sequoiagw-node/src/core_messages.rs
+++ b/crates/sequoiagw-node/src/core_messages.rs
@@ -89,8 +89,11 @@
             | FrameBody::RunStats(_) => {
                 self.counters.count("frame.unexpected");
             }
-            // Parts are joined by the links.
-            FrameBody::Hello(_) | FrameBody::Part(_) => {}
+            // Parts are joined, and transfers paced, by the links.
+            FrameBody::Hello(_)
+            | FrameBody::Part(_)
+            | FrameBody::TransferOffer(_)
+            | FrameBody::TransferGrant(_) => {}
         }
     }
 
--- a/crates/sequoiagw-node/src/link_handshake.rs
+++ b/crates/sequoiagw-node/src/link_handshake.rs
@@ -34,6 +34,8 @@
     pub(crate) boot: u64,
     /// Whether the peer joins the parts of large frames.
     pub(crate) joins_parts: bool,
+    /// Whether the peer grants the parts of large dispatches.
+    pub(crate) grants_transfers: bool,
 }
 
 /// A connection on which both ends have sent their hello frames.
@@ -69,6 +71,7 @@
             node: frame.sender_id(),
             boot: frame.boot,
             joins_parts: hello.joins_parts,
+            grants_transfers: hello.grants_transfers,
         };
         Some(Self {
             reader,
--- a/crates/sequoiagw-node/src/node_core.rs
+++ b/crates/sequoiagw-node/src/node_core.rs
@@ -263,6 +263,9 @@
             CoreEvent::DispatchUnsent(dispatch) => {
                 self.calls.entry.on_dispatch_unsent(dispatch, now);
             }
+            CoreEvent::DispatchRefused(dispatch) => {
+                self.calls.entry.on_dispatch_refused(dispatch, now);
+            }
             CoreEvent::DispatchWithdrawn(dispatch) => {
                 self.calls.entry.on_dispatch_withdrawn(dispatch);
             }
--- a/crates/sequoiagw-node/src/part_joiner.rs
+++ b/crates/sequoiagw-node/src/part_joiner.rs
@@ -11,7 +11,7 @@
 use tracing::warn;
 
 /// Largest frame that is joined, in bytes: a body of 8 MiB with its headers.
-const MAX_JOINED_BYTES: usize = 8 * 1024 * 1024 + 256 * 1024;
+pub(crate) const MAX_JOINED_BYTES: usize = 8 * 1024 * 1024 + 256 * 1024;
 
 /// Error in the parts of a frame, after which the link can't be used any more.
 #[derive(Debug, Error)]
@@ -46,6 +46,20 @@
         }
     }
 
+    /// Creates a joiner for a single transfer.
+    pub(crate) fn for_transfer(transfer: u64, budget: BufferBudget) -> Self {
+        Self {
+            transfer,
+            ..Self::new(budget)
+        }
+    }
+
+    /// Reserves memory for the whole frame before its first part; returns whether there was room.
+    pub(crate) fn reserve(&mut self, frame_bytes: usize) -> bool {
+        let reservation = self.reservation.as_mut();
+        reservation.is_some_and(|reservation| reservation.try_grow(frame_bytes as u64))
+    }
+
     /// Takes a frame and returns it if it is whole, the joined frame if it is a last part, and
     /// `None` for any other part.
     ///
@@ -57,7 +71,10 @@
         }
     }
 
-    fn add_part(&mut self, part: &FramePart) -> Result<Option<PeerFrame>, JoinError> {
+    /// Takes a part and returns the joined frame if it is the last one.
+    ///
+    /// Errors: the parts are too long, or don't make a frame.
+    pub(crate) fn add_part(&mut self, part: &FramePart) -> Result<Option<PeerFrame>, JoinError> {
         if part.transfer != self.transfer {
             self.transfer = part.transfer;
             self.begin_frame();
--- a/crates/sequoiagw-node/src/send_pacer.rs
+++ b/crates/sequoiagw-node/src/send_pacer.rs
@@ -27,9 +27,8 @@
 impl SendPacer {
     /// Creates the pacer of a host with this bandwidth in megabits per second, 0 if it is unknown.
     pub fn new(link_mbps: u32) -> Self {
-        let bandwidth = f64::from(link_mbps) * BYTES_PER_S_PER_MBPS * LARGE_FRAME_FRACTION;
         Self {
-            bytes_per_s: (bandwidth > 0.0).then_some(bandwidth),
+            bytes_per_s: paced_bytes_per_s(link_mbps),
             free_at: Cell::new(None),
             waiting_bytes: Cell::new(0),
         }
@@ -66,3 +65,10 @@
         })
     }
 }
+
+/// Bytes per second for the parts of large frames at a host with this bandwidth in megabits per
+/// second, `None` if the bandwidth is 0, which means unknown.
+pub(crate) fn paced_bytes_per_s(link_mbps: u32) -> Option<f64> {
+    let bandwidth = f64::from(link_mbps) * BYTES_PER_S_PER_MBPS * LARGE_FRAME_FRACTION;
+    (bandwidth > 0.0).then_some(bandwidth)
+}
--- a/crates/sequoiagw-node/src/send_queue.rs
+++ b/crates/sequoiagw-node/src/send_queue.rs
@@ -13,9 +13,12 @@
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PeerFrame;
 use sequoiagw_protocol::PendingAnswer;
+use sequoiagw_protocol::TransferGrant;
 use sequoiagw_protocol::LARGE_FRAME_BYTES;
 use tokio::time::Instant;
 
+use crate::transfer_offers::RemovedDispatch;
+use crate::transfer_offers::TransferOffers;
 use crate::SendPacer;
 use crate::UnsentDispatches;
 
@@ -38,6 +41,10 @@
     splits_frames: bool,
     pacer: Rc<SendPacer>,
     unsent: Rc<UnsentDispatches>,
+    /// Dispatches that are sent as the peer grants them, `None` if it grants none.
+    offers: Option<TransferOffers>,
+    /// Whether the next part is one of an offered dispatch, if there are others as well.
+    offers_turn: bool,
     /// Sender and boot of a dispatch that was withdrawn after some of its parts had been sent.
     withdrawn: Option<(u64, u64)>,
 }
@@ -83,9 +90,18 @@
             pacer,
             unsent: Rc::default(),
             withdrawn: None,
+            offers: None,
+            offers_turn: true,
         }
     }
 
+    /// Offers large dispatches to the peer, and sends their parts as it grants them.
+    #[must_use]
+    pub fn with_offers(mut self) -> Self {
+        self.offers = Some(TransferOffers::default());
+        self
+    }
+
     /// Sets where the dispatches that have not been sent whole are recorded, for all links together.
     #[must_use]
     pub fn with_unsent(mut self, unsent: Rc<UnsentDispatches>) -> Self {
@@ -116,6 +132,12 @@
             return;
         }
         self.pacer.add_waiting(bytes);
+        if let (Some(offers), true) = (&mut self.offers, dispatch.is_some()) {
+            self.transfers += 1;
+            self.small
+                .push_back(offers.add(self.transfers, frame, bytes));
+            return;
+        }
         let expires_at = expiry(&frame, now);
         self.large.push_back(LargeFrame {
             frame,
@@ -129,8 +151,21 @@
         self.small.pop_front()
     }
 
-    /// Whether a large frame waits or is incomplete.
+    /// Handles a grant of the peer. Returns the dispatch if the peer refused it.
+    pub fn on_grant(&mut self, grant: &TransferGrant) -> Option<PeerFrame> {
+        let refused = self.offers.as_mut()?.on_grant(grant)?;
+        self.pacer.remove_waiting(refused.left_bytes);
+        Some(refused.frame)
+    }
+
+    /// Whether a large frame waits or is incomplete, and may be sent.
     pub fn has_large(&self) -> bool {
+        let offers = self.offers.as_ref();
+        self.has_ungranted() || offers.is_some_and(TransferOffers::has_granted)
+    }
+
+    /// Whether there is something to send that needs no grant.
+    fn has_ungranted(&self) -> bool {
         self.transfer.is_some() || !self.large.is_empty() || self.withdrawn.is_some()
     }
 
@@ -140,6 +175,13 @@
     pub fn pop_part(&mut self, now: Instant) -> Option<PeerFrame> {
         self.drop_expired(now);
         self.drop_withdrawn();
+        if self.offers_turn || !self.has_ungranted() {
+            self.offers_turn = false;
+            if let Some(part) = self.pop_offered_part() {
+                return Some(part);
+            }
+        }
+        self.offers_turn = true;
         if self.transfer.is_none() {
             let Some(next) = self.large.pop_front() else {
                 return self.end_withdrawn();
@@ -170,6 +212,11 @@
     /// last part hasn't been sent, since it can't have run.
     pub fn take_unsent(&mut self) -> Vec<PeerFrame> {
         let mut unsent: Vec<PeerFrame> = self.drop_transfer().into_iter().collect();
+        let offered = self.offers.as_mut();
+        for removed in offered.map_or_else(Vec::new, |offers| offers.remove(|_| true)) {
+            self.pacer.remove_waiting(removed.left_bytes);
+            unsent.push(removed.frame);
+        }
         unsent.extend(self.small.drain(..));
         while let Some(large) = self.large.pop_front() {
             self.pacer.remove_waiting(large.bytes);
@@ -192,6 +239,15 @@
         });
     }
 
+    fn pop_offered_part(&mut self) -> Option<PeerFrame> {
+        let part = self.offers.as_mut()?.pop_part()?;
+        self.pacer.remove_waiting(part.bytes);
+        if let Some(dispatch) = &part.ended {
+            self.forget_dispatch(dispatch);
+        }
+        Some(part.frame)
+    }
+
     /// First part of a frame that doesn't follow, with which the receiver drops the parts of the
     /// dispatch that was withdrawn. They would use its memory until the next large frame.
     fn end_withdrawn(&mut self) -> Option<PeerFrame> {
@@ -206,8 +262,13 @@
         Some(PeerFrame::new(sender, boot, FrameBody::Part(part)))
     }
 
-    /// Drops the dispatches that were withdrawn.
-    fn drop_withdrawn(&mut self) {
+    /// Drops the dispatches that were withdrawn. The peer is told of those that it was offered.
+    pub fn drop_withdrawn(&mut self) {
+        for removed in self.take_withdrawn_offers() {
+            self.pacer.remove_waiting(removed.left_bytes);
+            self.forget_dispatch(&removed.frame);
+            self.small.push_back(removed.withdrawal());
+        }
         let is_withdrawn = |frame: &PeerFrame| {
             dispatch_id(frame).is_some_and(|dispatch| self.unsent.is_withdrawn(dispatch))
         };
@@ -229,6 +290,16 @@
         }
     }
 
+    fn take_withdrawn_offers(&mut self) -> Vec<RemovedDispatch> {
+        let unsent = &self.unsent;
+        let offers = self.offers.as_mut();
+        offers.map_or_else(Vec::new, |offers| {
+            offers.remove(|frame| {
+                dispatch_id(frame).is_some_and(|dispatch| unsent.is_withdrawn(dispatch))
+            })
+        })
+    }
+
     fn forget_dispatch(&self, frame: &PeerFrame) {
         if let Some(dispatch) = dispatch_id(frame) {
             self.unsent.remove(dispatch);
--- a/crates/sequoiagw-node/src/tcp_links.rs
+++ b/crates/sequoiagw-node/src/tcp_links.rs
@@ -6,8 +6,6 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::SinkExt;
-use futures_util::StreamExt;
 use prost::Message;
 use rand::Rng;
 use sequoiagw_http::BufferBudget;
@@ -19,7 +17,7 @@
 use sequoiagw_protocol::LARGE_FRAME_BYTES;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio::time::Instant;
@@ -27,42 +25,42 @@
 use tracing::warn;
 
 use crate::link_handshake::EstablishedLink;
-use crate::link_handshake::LinkPeer;
-use crate::link_handshake::LinkReader;
-use crate::link_handshake::LinkWriter;
+use crate::link_streams::IncomingFrames;
+use crate::link_streams::OutgoingFrames;
 use crate::link_table::LinkTable;
 use crate::link_table::QueueEnds;
 use crate::link_table::QueueOutcome;
+use crate::link_timers::wait_until_idle;
 use crate::part_joiner::PartJoiner;
 use crate::send_queue::dispatch_id;
 use crate::send_queue::SendQueue;
+use crate::transfer_receiver::TransferReceiver;
 use crate::CoreEvent;
 use crate::EventSender;
 use crate::PeerLinks;
+use crate::ReceivePacer;
 use crate::SendPacer;
 use crate::UnsentDispatches;
 
 /// Time limit for opening a connection, including the exchange of hello frames.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time without a frame after which the node that opened a link closes it.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// Number of concurrent handshakes on incoming links, limited so that many nodes that reconnect at
 /// once don't stall calls.
 const HANDSHAKE_LIMIT: usize = 64;
 /// Mean delay after a failed connection attempt, during which frames to that address are reported as
 /// undelivered at once. Also the delay after a failed accept.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Length prefix and version byte of a frame, in bytes.
-const FRAME_OVERHEAD_BYTES: usize = 5;
 
 /// Connections to other nodes over TCP.
 #[derive(Clone, Debug)]
 pub struct TcpLinks {
     table: Rc<RefCell<LinkTable>>,
-    hello: Rc<PeerFrame>,
-    events: EventSender,
-    pacer: Rc<SendPacer>,
-    unsent: Rc<UnsentDispatches>,
+    pub(crate) hello: Rc<PeerFrame>,
+    pub(crate) events: EventSender,
+    pub(crate) pacer: Rc<SendPacer>,
+    pub(crate) unsent: Rc<UnsentDispatches>,
+    /// Receiving side of large dispatches, `None` if they are sent without grants.
+    receiver: Option<Rc<TransferReceiver>>,
     budget: BufferBudget,
 }
 
@@ -78,6 +76,7 @@
         let hello = FrameBody::Hello(LinkHello {
             address: address.to_string(),
             joins_parts: true,
+            grants_transfers: false,
         });
         Self {
             table: Rc::default(),
@@ -85,6 +84,7 @@
             events,
             pacer: Rc::new(pacer),
             unsent: Rc::default(),
+            receiver: None,
             budget: BufferBudget::unlimited(),
         }
     }
@@ -96,8 +96,33 @@
         self
     }
 
-    /// Accepts links from other nodes. Errors of the listener are logged and accepting is retried.
+    /// Grants the parts of large dispatches from nodes that do so as well, at the pace of
+    /// `pacer`. [`Self::accept`] has to run.
+    #[must_use]
+    pub fn with_grants(mut self, pacer: ReceivePacer) -> Self {
+        self.receiver = Some(Rc::new(TransferReceiver::new(pacer)));
+        if let Some(FrameBody::Hello(hello)) = &mut Rc::make_mut(&mut self.hello).body {
+            hello.grants_transfers = true;
+        }
+        self
+    }
+
+    /// Accepts links from other nodes, and grants what they send. Errors of the listener are logged
+    /// and accepting is retried.
     pub async fn accept(&self, listener: TcpListener) {
+        let send_grants = async {
+            match &self.receiver {
+                Some(receiver) => receiver.run().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = self.accept_links(listener) => {}
+            () = send_grants => {}
+        }
+    }
+
+    async fn accept_links(&self, listener: TcpListener) {
         let handshakes = Arc::new(Semaphore::new(HANDSHAKE_LIMIT));
         loop {
             let Ok(permit) = Arc::clone(&handshakes).acquire_owned().await else {
@@ -175,14 +200,35 @@
         let last_frame = Cell::new(Instant::now());
         let mut queue = SendQueue::new(peer.joins_parts, Rc::clone(&self.pacer))
             .with_unsent(Rc::clone(&self.unsent));
+        let (signals, signal_receiver) = mpsc::unbounded_channel();
+        let granting = self.receiver.as_ref().filter(|_| peer.grants_transfers);
+        if let Some(granting) = granting {
+            queue = queue.with_offers();
+            granting.add_link(id, signals.clone());
+        }
+        let incoming = IncomingFrames {
+            reader,
+            joiner: PartJoiner::new(self.budget.clone()),
+            link: id,
+            granting,
+            signals,
+        };
+        let outgoing = OutgoingFrames {
+            writer,
+            frames: &mut receiver,
+            signals: signal_receiver,
+        };
         let lost = tokio::select! {
-            () = self.read_frames(reader, peer, &last_frame) => true,
-            () = self.write_frames(writer, &mut receiver, &mut queue, peer, &last_frame) => true,
+            () = self.read_frames(incoming, peer, &last_frame) => true,
+            () = self.write_frames(outgoing, &mut queue, peer, &last_frame) => true,
             Ok(()) = reset => false,
             () = wait_until_idle(&last_frame), if opened_here => false,
         };
         debug!(event = "link_closed", peer = %peer.address, lost);
         self.table.borrow_mut().unregister(peer.address, id);
+        if let Some(granting) = granting {
+            granting.remove_link(id);
+        }
         receiver.close();
         let mut unsent = queue.take_unsent();
         while let Ok(frame) = receiver.try_recv() {
@@ -197,7 +243,7 @@
     }
 
     /// Reports frames that were never sent whole, without the dispatches that were withdrawn.
-    fn report_undelivered(&self, address: NodeAddress, mut frames: Vec<PeerFrame>) {
+    pub(crate) fn report_undelivered(&self, address: NodeAddress, mut frames: Vec<PeerFrame>) {
         let unsent = &self.unsent;
         frames.retain(|frame| {
             let withdrawn = dispatch_id(frame).is_some_and(|dispatch| unsent.remove(dispatch));
@@ -223,118 +269,6 @@
         }
         Some(frame)
     }
-
-    /// Reports the frames that arrive until the link fails.
-    async fn read_frames(
-        &self,
-        mut reader: LinkReader,
-        peer: LinkPeer,
-        last_frame: &Cell<Instant>,
-    ) {
-        let mut joiner = PartJoiner::new(self.budget.clone());
-        while let Some(read) = reader.next().await {
-            let frame = match read {
-                Ok(frame) => frame,
-                Err(error) => {
-                    warn!(event = "link_failed", peer = %peer.address, error = %error);
-                    return;
-                }
-            };
-            last_frame.set(Instant::now());
-            let node = frame.sender_id();
-            let bytes = frame.encoded_len() + FRAME_OVERHEAD_BYTES;
-            let event = match joiner.join(frame) {
-                Ok(Some(frame)) => CoreEvent::Frame { frame, bytes },
-                Ok(None) => CoreEvent::PartReceived { node, bytes },
-                Err(error) => {
-                    warn!(event = "link_failed", peer = %peer.address, error = %error);
-                    return;
-                }
-            };
-            let _ = self.events.send(event);
-        }
-    }
-
-    /// Writes the frames of the receiver until the link fails. When another link replaces this
-    /// one, the frames that wait are still written; the peer may go on sending on this link.
-    ///
-    /// Dispatches to another boot of the peer are reported as undelivered instead.
-    async fn write_frames(
-        &self,
-        mut writer: LinkWriter,
-        receiver: &mut UnboundedReceiver<PeerFrame>,
-        queue: &mut SendQueue,
-        peer: LinkPeer,
-        last_frame: &Cell<Instant>,
-    ) {
-        let mut next_part_at = None;
-        loop {
-            while let Ok(frame) = receiver.try_recv() {
-                self.queue_frame(frame, queue, peer);
-            }
-            while let Some(frame) = queue.pop_small() {
-                last_frame.set(Instant::now());
-                if writer.feed(&frame).await.is_err() {
-                    return;
-                }
-            }
-            if writer.flush().await.is_err() {
-                return;
-            }
-            let part_at = queue.has_large().then(|| {
-                *next_part_at
-                    .get_or_insert_with(|| self.pacer.reserve(LARGE_FRAME_BYTES, Instant::now()))
-            });
-            tokio::select! {
-                biased;
-                () = sleep_until(part_at) => {
-                    next_part_at = None;
-                    let Some(part) = queue.pop_part(Instant::now()) else {
-                        continue;
-                    };
-                    last_frame.set(Instant::now());
-                    if writer.feed(&part).await.is_err() {
-                        return;
-                    }
-                }
-                Some(frame) = receiver.recv() => self.queue_frame(frame, queue, peer),
-            }
-        }
-    }
-
-    fn queue_frame(&self, frame: PeerFrame, queue: &mut SendQueue, peer: LinkPeer) {
-        if is_for_other_boot(&frame, peer.boot) {
-            self.report_undelivered(peer.address, vec![frame]);
-        } else {
-            queue.push(frame, Instant::now());
-        }
-    }
-}
-
-/// Sleeps until a time, or forever without one.
-async fn sleep_until(time: Option<Instant>) {
-    match time {
-        Some(time) => tokio::time::sleep_until(time).await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Waits until no frame has been sent or received for [`IDLE_TIMEOUT`].
-async fn wait_until_idle(last_frame: &Cell<Instant>) {
-    loop {
-        let idle_deadline = last_frame.get() + IDLE_TIMEOUT;
-        if Instant::now() >= idle_deadline {
-            return;
-        }
-        tokio::time::sleep_until(idle_deadline).await;
-    }
-}
-
-fn is_for_other_boot(frame: &PeerFrame, boot: u64) -> bool {
-    match &frame.body {
-        Some(FrameBody::Dispatch(dispatch)) => dispatch.target_boot != boot && !dispatch.redirected,
-        _ => false,
-    }
 }
 
 impl PeerLinks for TcpLinks {
--- a/crates/sequoiagw-node/src/unsent_dispatches.rs
+++ b/crates/sequoiagw-node/src/unsent_dispatches.rs
@@ -3,6 +3,8 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 
+use tokio::sync::Notify;
+
 /// State of a dispatch that has not been sent whole.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum DispatchState {
@@ -20,6 +22,7 @@
 #[derive(Debug, Default)]
 pub struct UnsentDispatches {
     states: RefCell<HashMap<u64, DispatchState>>,
+    withdrawn: Notify,
 }
 
 impl UnsentDispatches {
@@ -36,12 +39,19 @@
 
     /// Withdraws a dispatch; returns whether it was waiting, so that it never runs.
     pub fn withdraw(&self, dispatch: u64) -> bool {
-        match self.states.borrow_mut().get_mut(&dispatch) {
-            Some(state) => {
-                std::mem::replace(state, DispatchState::Withdrawn) == DispatchState::Waiting
-            }
-            None => false,
-        }
+        let mut states = self.states.borrow_mut();
+        let Some(state) = states.get_mut(&dispatch) else {
+            return false;
+        };
+        let was_waiting =
+            std::mem::replace(state, DispatchState::Withdrawn) == DispatchState::Waiting;
+        self.withdrawn.notify_waiters();
+        was_waiting
+    }
+
+    /// Waits until a dispatch is withdrawn.
+    pub async fn wait_for_withdrawal(&self) {
+        self.withdrawn.notified().await;
     }
 
     /// Whether a dispatch has been withdrawn and not been removed yet.
--- a/crates/sequoiagw-policy/src/entry_failures.rs
+++ b/crates/sequoiagw-policy/src/entry_failures.rs
@@ -56,6 +56,22 @@
         }
     }
 
+    /// Retries a call whose dispatch its receiver refused to take, because its link or its memory is
+    /// occupied, or refuses the call once it has tried all targets. The node hasn't failed: it may
+    /// still take other calls.
+    pub fn on_dispatch_refused(&mut self, dispatch: u64, now: Instant) {
+        let Some(call) = self.calls_by_dispatch.get(&dispatch).copied() else {
+            return;
+        };
+        let entry_call = &self.calls[&call];
+        let mut targets = self.balancer.targets(&entry_call.spec.service).iter();
+        if targets.any(|target| !entry_call.tried_nodes.contains(&target.node)) {
+            self.retry(call, ErrorKind::BodyUnsent, RetryReason::Undelivered, now);
+        } else {
+            self.reply(call, Err(ErrorKind::BodyUnsent));
+        }
+    }
+
     /// Refuses a call whose dispatch was removed before it had been sent whole, so that it can't
     /// have run.
     pub fn on_dispatch_withdrawn(&mut self, dispatch: u64) {
--- a/crates/sequoiagw-policy/tests/large_requests.rs
+++ b/crates/sequoiagw-policy/tests/large_requests.rs
@@ -28,18 +28,27 @@
     queries: usize,
     resets: usize,
     errors: Vec<ErrorKind>,
+    dispatches: Vec<(NodeId, u64)>,
 }
 
 impl EntryFixture {
     fn begin_call(timeout: Duration) -> Self {
-        let target = TargetInfo {
-            node: NodeId::from(1),
+        Self::begin_call_at(&[1], timeout)
+    }
+
+    /// Starts a call to a service with these targets.
+    fn begin_call_at(nodes: &[u64], timeout: Duration) -> Self {
+        let target = |node: u64| TargetInfo {
+            node: NodeId::from(node),
             boot: 1,
             data_centre: "south".to_owned(),
             slots: 10,
         };
         let mut entry = EntryMachine::new("north", ChaCha8Rng::seed_from_u64(1));
-        let services = BTreeMap::from([("press".to_owned(), vec![target])]);
+        let services = BTreeMap::from([(
+            "press".to_owned(),
+            nodes.iter().copied().map(target).collect(),
+        )]);
         entry.balancer_mut().set_targets(services);
         let spec = CallSpec {
             service: "press".to_owned(),
@@ -68,6 +77,7 @@
             queries: 0,
             resets: 0,
             errors: Vec::new(),
+            dispatches: Vec::new(),
         }
     }
 
@@ -88,6 +98,9 @@
                 self.queries += 1;
                 self.entry.on_dispatch_unsent(query.call, self.now);
             }
+            EntryAction::Send(node, FrameBody::Dispatch(dispatch)) => {
+                self.dispatches.push((node, dispatch.call));
+            }
             EntryAction::Withdraw(dispatch) if self.sending => {
                 self.entry.on_dispatch_withdrawn(dispatch);
                 for action in self.entry.take_actions() {
@@ -143,3 +156,22 @@
     fixture.advance(1000);
     assert!(fixture.resets > 0);
 }
+
+/// Guards against a call that waits at a target whose link is occupied, and against targets that
+/// count as failed because of an occupied link.
+#[test]
+fn refused_dispatch_goes_to_each_other_target_once_and_then_the_call_is_refused() {
+    let mut fixture = EntryFixture::begin_call_at(&[1, 2, 3], Duration::from_secs(3));
+    for attempt in 0..3 {
+        fixture.advance(5);
+        assert_eq!(fixture.errors, []);
+        assert_eq!(fixture.dispatches.len(), attempt + 1);
+        let (_, dispatch) = fixture.dispatches[attempt];
+        fixture.entry.on_dispatch_refused(dispatch, fixture.now);
+    }
+    fixture.advance(5);
+    assert_eq!(fixture.errors, [ErrorKind::BodyUnsent]);
+    let mut nodes: Vec<NodeId> = fixture.dispatches.iter().map(|(node, _)| *node).collect();
+    nodes.sort_unstable();
+    assert_eq!(nodes, [1, 2, 3].map(NodeId::from));
+}
--- a/crates/sequoiagw-protocol/src/lib.rs
+++ b/crates/sequoiagw-protocol/src/lib.rs
@@ -32,6 +32,8 @@
 pub use frame_codec::MAX_FRAME_BYTES;
 pub use frame_codec::WIRE_VERSION;
 pub use frame_part::FramePart;
+pub use frame_part::TransferGrant;
+pub use frame_part::TransferOffer;
 pub use frame_part::LARGE_FRAME_BYTES;
 pub use member_message::*;
 pub use node_identity::NodeAddress;
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -196,4 +196,8 @@
     /// and gets every frame whole.
     #[prost(bool, tag = "2")]
     pub joins_parts: bool,
+    /// Whether the sender grants the parts of large dispatches, and sends its own as they are
+    /// granted.
+    #[prost(bool, tag = "3")]
+    pub grants_transfers: bool,
 }
--- a/crates/sequoiagw-protocol/src/peer_frame.rs
+++ b/crates/sequoiagw-protocol/src/peer_frame.rs
@@ -34,6 +34,8 @@
 use crate::RunStatsRequest;
 use crate::TableDigest;
 use crate::TableRecords;
+use crate::TransferGrant;
+use crate::TransferOffer;
 use crate::VersionActivate;
 use crate::VersionDelta;
 use crate::VersionReport;
@@ -50,7 +52,7 @@
     /// Message in the frame; absent if the receiver doesn't support it.
     #[prost(
         oneof = "FrameBody",
-        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 40, 41, 50, 51, 52"
+        tags = "10, 11, 12, 13, 14, 15, 16, 17, 18, 19, 20, 21, 22, 23, 24, 25, 26, 27, 28, 30, 31, 32, 33, 34, 35, 36, 37, 40, 41, 50, 51, 52"
     )]
     pub body: Option<FrameBody>,
 }
@@ -154,6 +156,12 @@
     /// Permits of a workspace.
     #[prost(message, tag = "35")]
     QuotaGrant(QuotaGrant),
+    /// Announcement of a large dispatch.
+    #[prost(message, tag = "36")]
+    TransferOffer(TransferOffer),
+    /// Permission to send a part of an announced dispatch.
+    #[prost(message, tag = "37")]
+    TransferGrant(TransferGrant),
     /// Claims of idempotency keys.
     #[prost(message, tag = "40")]
     Claim(ClaimRequest),
@@ -191,6 +199,8 @@
                 FrameKind::Version
             }
             Self::Part(_)
+            | Self::TransferOffer(_)
+            | Self::TransferGrant(_)
             | Self::Dispatch(_)
             | Self::Answer(_)
             | Self::Query(_)
