Load reports carry the time until a host has received what it was offered

An upload was placed by the wait for slots and by the wait of large answers only. The backlog of the receiver's offers goes into the load report (receive_wait_ms, absent at zero), and an entry adds it to the expected answer of a call with a large body. It doesn't count for a target beside the entry.

--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -95,7 +95,11 @@
             FrameBody::Dispatch(dispatch) => {
                 self.calls.owner.on_dispatch(from, boot, dispatch, now);
             }
-            FrameBody::Answer(answer) if answer.entry_boot == self.boot => {
+            FrameBody::Answer(mut answer) if answer.entry_boot == self.boot => {
+                if let Some(load) = answer.load.as_mut().filter(|_| from == self.node) {
+                    // A body that stays at this host doesn't wait for its link.
+                    load.receive_wait_ms = 0;
+                }
                 self.calls.entry.on_answer(from, boot, answer, now);
             }
             FrameBody::Query(query) => self.calls.owner.on_query(from, boot, query, now),
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -207,6 +207,11 @@
         self.calls.owner.set_link_wait(link_wait);
     }
 
+    /// Sets the time until the large dispatches that are offered to this host have been received.
+    pub fn set_receive_wait(&mut self, receive_wait: Duration) {
+        self.calls.owner.set_receive_wait(receive_wait);
+    }
+
     /// Number of unfinished calls, as entry and as owner.
     pub fn open_calls(&self) -> usize {
         self.calls.open_calls()
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -148,6 +148,8 @@
             let mut inner = self.inner.borrow_mut();
             let link_wait = inner.links.large_frame_wait();
             inner.core.set_link_wait(link_wait);
+            let receive_wait = inner.links.receive_wait();
+            inner.core.set_receive_wait(receive_wait);
             change(&mut inner.core, Instant::now())
         };
         self.run_actions();
--- a/crates/sequoiagw-node/src/node_edges.rs
+++ b/crates/sequoiagw-node/src/node_edges.rs
@@ -29,6 +29,12 @@
         Duration::ZERO
     }
 
+    /// Time until the large dispatches that are offered to this host have been received, zero where
+    /// that isn't known.
+    fn receive_wait(&self) -> Duration {
+        Duration::ZERO
+    }
+
     /// Removes a dispatch that hasn't been sent whole, which is reported as
     /// [`CoreEvent::DispatchWithdrawn`]. Nothing is reported of any other dispatch.
     fn withdraw(&self, _dispatch: u64) {}
--- a/crates/sequoiagw-node/src/tcp_links.rs
+++ b/crates/sequoiagw-node/src/tcp_links.rs
@@ -297,6 +297,11 @@
         self.pacer.large_frame_wait()
     }
 
+    fn receive_wait(&self) -> Duration {
+        let receiver = self.receiver.as_ref();
+        receiver.map_or(Duration::ZERO, |receiver| receiver.backlog_wait())
+    }
+
     fn withdraw(&self, dispatch: u64) {
         if self.unsent.withdraw(dispatch) {
             let _ = self.events.send(CoreEvent::DispatchWithdrawn(dispatch));
--- a/crates/sequoiagw-node/src/transfer_receiver.rs
+++ b/crates/sequoiagw-node/src/transfer_receiver.rs
@@ -2,6 +2,7 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::time::Duration;
 
 use sequoiagw_protocol::FramePart;
 use sequoiagw_protocol::PeerFrame;
@@ -73,6 +74,11 @@
         Some(joined)
     }
 
+    /// Time until what is offered now has been received.
+    pub(crate) fn backlog_wait(&self) -> Duration {
+        self.pacer.borrow().backlog_wait()
+    }
+
     /// Sends grants as they become due, without end.
     pub(crate) async fn run(&self) {
         loop {
--- a/crates/sequoiagw-policy/src/entry_dispatch.rs
+++ b/crates/sequoiagw-policy/src/entry_dispatch.rs
@@ -51,6 +51,7 @@
                 now,
             ),
             spill_load: entry_call.spec.spill_load,
+            large_body: entry_call.request.body.len() > LARGE_FRAME_BYTES,
             refuse_early: entry_call.attempts == 0,
         };
         match self.balancer.pick(&request, &mut self.rng, now) {
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -49,6 +49,8 @@
     pub(crate) answer_sizes: AnswerSizes,
     /// Time until the large answers that wait at this host have been sent.
     pub(crate) link_wait: Duration,
+    /// Time until the large dispatches that are offered to this host have been received.
+    pub(crate) receive_wait: Duration,
     pub(crate) calls: HashMap<CallId, OwnerCall>,
     pub(crate) runs: HashMap<RunId, CallId>,
     pub(crate) run_deadlines: BTreeSet<(Instant, RunId)>,
@@ -87,6 +89,7 @@
             paused_until: None,
             answer_sizes: AnswerSizes::default(),
             link_wait: Duration::ZERO,
+            receive_wait: Duration::ZERO,
             calls: HashMap::new(),
             runs: HashMap::new(),
             run_deadlines: BTreeSet::new(),
@@ -137,6 +140,11 @@
         self.link_wait = link_wait;
     }
 
+    /// Sets the time until the large dispatches that are offered to this host have been received.
+    pub fn set_receive_wait(&mut self, receive_wait: Duration) {
+        self.receive_wait = receive_wait;
+    }
+
     /// Number of calls that are queued, running or waiting for a claim.
     pub fn open_calls(&self) -> usize {
         self.queue.len() + self.runs.len() + self.claim_retry_times.len()
--- a/crates/sequoiagw-policy/src/owner_reports.rs
+++ b/crates/sequoiagw-policy/src/owner_reports.rs
@@ -30,6 +30,7 @@
             occupancy_ms: self.occupancy.mean(now).as_millis() as u32,
             waits: LoadReport::pack_waits(self.expected_waits(now)),
             link_wait_ms: self.link_wait.as_millis() as u32,
+            receive_wait_ms: self.receive_wait.as_millis() as u32,
         }
     }
 
--- a/crates/sequoiagw-policy/src/pick_request.rs
+++ b/crates/sequoiagw-policy/src/pick_request.rs
@@ -29,6 +29,8 @@
     pub remote_penalty: Duration,
     /// Expected time to a local answer up to which no remote target is considered.
     pub acceptable_local_latency: Duration,
+    /// Whether the body is sent in parts, behind those that the target's host has to receive.
+    pub large_body: bool,
     /// Time left of the call's latency target.
     pub remaining_latency_target: Duration,
 }
--- a/crates/sequoiagw-policy/src/target_choice.rs
+++ b/crates/sequoiagw-policy/src/target_choice.rs
@@ -124,7 +124,7 @@
     }
 
     /// Expected time to an answer: wait for a slot, run time, failure penalty and, for a large
-    /// answer, wait for the link of the target's host.
+    /// answer or a large body, wait for the link of the target's host.
     pub(crate) fn expected_latency(
         &self,
         info: &TargetInfo,
@@ -143,9 +143,15 @@
         } else {
             Duration::ZERO
         };
+        let receive_wait = if request.large_body {
+            view.receive_wait(now)
+        } else {
+            Duration::ZERO
+        };
         view.expected_slot_wait(info.slots, request.level, now)
             + run_time
             + link_wait
+            + receive_wait
             + view.failure_penalty(now)
     }
 
--- a/crates/sequoiagw-policy/src/target_view.rs
+++ b/crates/sequoiagw-policy/src/target_view.rs
@@ -86,6 +86,17 @@
         report.link_wait().mul_f64(weight)
     }
 
+    /// Expected wait of a large dispatch for the link of the target's host: the reported wait,
+    /// weighted down with its age.
+    pub(crate) fn receive_wait(&self, now: Instant) -> Duration {
+        let Some((report, time)) = &self.report else {
+            return Duration::ZERO;
+        };
+        let age = now.saturating_duration_since(*time);
+        let weight = 1.0 - (age.as_secs_f64() / LOAD_REPORT_MAX_AGE.as_secs_f64()).min(1.0);
+        report.receive_wait().mul_f64(weight)
+    }
+
     /// Time added to the expected answer because of failures. It decreases with the time since
     /// the last answer, so that a recovered target gets calls again.
     pub(crate) fn failure_penalty(&self, now: Instant) -> Duration {
--- a/crates/sequoiagw-policy/tests/target_balancer.rs
+++ b/crates/sequoiagw-policy/tests/target_balancer.rs
@@ -39,6 +39,7 @@
         spill_load: 1.5,
         refuse_early: true,
         placement_rule: PlacementRule::Spill,
+        large_body: false,
         remote_penalty: Duration::ZERO,
         acceptable_local_latency: Duration::ZERO,
         remaining_latency_target: Duration::from_secs(1),
@@ -48,6 +49,7 @@
 fn report(running: u32, waiting: u32, open_levels: u32) -> LoadReport {
     LoadReport {
         link_wait_ms: 0,
+        receive_wait_ms: 0,
         running,
         slots: 10,
         waiting,
@@ -238,6 +240,30 @@
     assert_eq!(large.map(|info| info.node), Ok(NodeId::from(2)));
 }
 
+/// Guards against uploads to a host that already has to receive others, and against small calls that
+/// avoid such a host.
+#[test]
+fn large_bodies_go_to_the_target_that_has_less_to_receive() {
+    let now = Instant::now();
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let mut balancer = local_and_remote();
+    let busy_link = LoadReport {
+        receive_wait_ms: 700,
+        ..waiting_report(0, 0)
+    };
+    balancer.on_load_report(NodeId::from(1), busy_link, now);
+    balancer.on_load_report(NodeId::from(2), waiting_report(0, 0), now);
+    let small = fastest_request(200, 800);
+    let target = balancer.pick(&small, &mut rng, now);
+    assert_eq!(target.map(|info| info.node), Ok(NodeId::from(1)));
+    let large = PickRequest {
+        large_body: true,
+        ..small
+    };
+    let target = balancer.pick(&large, &mut rng, now);
+    assert_eq!(target.map(|info| info.node), Ok(NodeId::from(2)));
+}
+
 #[test]
 fn picks_a_target_with_free_slots_for_a_short_call_beside_long_calls() {
     let now = Instant::now();
--- a/crates/sequoiagw-protocol/src/call_message.rs
+++ b/crates/sequoiagw-protocol/src/call_message.rs
@@ -226,6 +226,10 @@
     /// Time until the large frames that wait at the host have been sent, in milliseconds.
     #[prost(uint32, tag = "7")]
     pub link_wait_ms: u32,
+    /// Time until the large dispatches that are offered to the host have been received, in
+    /// milliseconds.
+    #[prost(uint32, tag = "8")]
+    pub receive_wait_ms: u32,
 }
 
 /// Unit of the expected waits in a load report. The longest wait that fits into a byte is 255
@@ -238,6 +242,11 @@
         Duration::from_millis(u64::from(self.link_wait_ms))
     }
 
+    /// Time until the large dispatches that are offered to the host have been received.
+    pub fn receive_wait(&self) -> Duration {
+        Duration::from_millis(u64::from(self.receive_wait_ms))
+    }
+
     /// Encodes the expected waits of all levels as one number, with one byte per level.
     ///
     /// Waits are rounded up to whole units; longer ones than a byte can hold are capped.
