A paused sender's offer doesn't count as backlog

The link of a paused process stays open, and its offers kept the receiver's backlog at their whole length: other offers were refused, and load reports kept uploads away, until it resumed. Offers with an overdue part get no grants and are left out of the backlog. The tests pass the time to the pacer.

--- a/crates/sequoiagw-node/src/receive_pacer.rs
+++ b/crates/sequoiagw-node/src/receive_pacer.rs
@@ -62,14 +62,19 @@
 
     /// Accepts an offer that arrived on a link, or returns its refusal. An offer of no bytes
     /// withdraws an earlier one.
-    pub fn on_offer(&mut self, link: u64, offer: &TransferOffer) -> Option<TransferGrant> {
+    pub fn on_offer(
+        &mut self,
+        link: u64,
+        offer: &TransferOffer,
+        now: Instant,
+    ) -> Option<TransferGrant> {
         if offer.bytes == 0 {
             self.offers.retain(|other| !other.is(link, offer.transfer));
             return None;
         }
         let due = Duration::from_millis(u64::from(offer.due_ms));
         let bytes = usize::try_from(offer.bytes).unwrap_or(usize::MAX);
-        if bytes > MAX_JOINED_BYTES || self.backlog_wait() > due {
+        if bytes > MAX_JOINED_BYTES || self.backlog_wait(now) > due {
             return Some(refusal(offer.transfer));
         }
         self.offers.push_back(AcceptedOffer {
@@ -165,12 +170,13 @@
     }
 
     /// Time until the bytes that are offered now have been received, zero without a known
-    /// bandwidth.
-    pub fn backlog_wait(&self) -> Duration {
+    /// bandwidth. Offers with an overdue part aren't counted: they get no grants and delay nobody,
+    /// while the link of a paused sender may stay open for a long time.
+    pub fn backlog_wait(&self, now: Instant) -> Duration {
         let Some(bytes_per_s) = self.bytes_per_s else {
             return Duration::ZERO;
         };
-        let offers = self.offers.iter();
+        let offers = self.offers.iter().filter(|offer| !offer.is_overdue(now));
         let bytes: usize = offers
             .map(|offer| offer.bytes.saturating_sub(offer.received_bytes))
             .sum();
@@ -192,9 +198,13 @@
 
     /// Whether a part is left to grant, and no granted one is overdue.
     fn may_grant(&self, now: Instant) -> bool {
+        self.granted_bytes < self.bytes && !self.is_overdue(now)
+    }
+
+    /// Whether a granted part hasn't been received in time.
+    fn is_overdue(&self, now: Instant) -> bool {
         let oldest = self.open_grants.front();
-        let is_overdue = oldest.is_some_and(|granted_at| now >= *granted_at + GRANT_TIMEOUT);
-        self.granted_bytes < self.bytes && !is_overdue
+        oldest.is_some_and(|granted_at| now >= *granted_at + GRANT_TIMEOUT)
     }
 }
 
--- a/crates/sequoiagw-node/src/transfer_receiver.rs
+++ b/crates/sequoiagw-node/src/transfer_receiver.rs
@@ -56,7 +56,10 @@
 
     /// Handles an offer that arrived on a link.
     pub(crate) fn on_offer(&self, link: u64, offer: &TransferOffer) {
-        let refusal = self.pacer.borrow_mut().on_offer(link, offer);
+        let refusal = self
+            .pacer
+            .borrow_mut()
+            .on_offer(link, offer, Instant::now());
         match refusal {
             Some(refusal) => self.send_grant(link, refusal),
             None => self.changed.notify_one(),
@@ -76,7 +79,7 @@
 
     /// Time until what is offered now has been received.
     pub(crate) fn backlog_wait(&self) -> Duration {
-        self.pacer.borrow().backlog_wait()
+        self.pacer.borrow().backlog_wait(Instant::now())
     }
 
     /// Sends grants as they become due, without end.
--- a/crates/sequoiagw-node/tests/receive_pacer.rs
+++ b/crates/sequoiagw-node/tests/receive_pacer.rs
@@ -63,7 +63,7 @@
 fn grants_of_all_links_together_stay_within_the_bandwidth() {
     let mut pacer = pacer();
     for link in 0..20 {
-        assert_eq!(pacer.on_offer(link, &offer(1, 20)), None);
+        assert_eq!(pacer.on_offer(link, &offer(1, 20), Instant::now()), None);
     }
     let grants = run(&mut pacer, Instant::now(), Duration::from_secs(2), None);
     let bytes: u64 = grants.iter().map(|(_, grant)| grant.bytes).sum();
@@ -78,8 +78,8 @@
 fn at_most_four_parts_are_granted_and_not_received() {
     let mut pacer = ReceivePacer::new(0, BufferBudget::unlimited());
     let now = Instant::now();
-    pacer.on_offer(1, &offer(1, 20));
-    pacer.on_offer(2, &offer(1, 20));
+    pacer.on_offer(1, &offer(1, 20), Instant::now());
+    pacer.on_offer(2, &offer(1, 20), Instant::now());
     assert_eq!(pacer.take_grants(now).len(), 4);
     assert_eq!(pacer.take_grants(now).len(), 0);
     pacer.on_part(1, &part(1));
@@ -90,8 +90,8 @@
 #[test]
 fn sender_that_does_not_use_its_grants_delays_others_for_a_moment_only() {
     let mut pacer = pacer();
-    pacer.on_offer(1, &offer(1, 100));
-    pacer.on_offer(2, &offer(1, 10));
+    pacer.on_offer(1, &offer(1, 100), Instant::now());
+    pacer.on_offer(2, &offer(1, 10), Instant::now());
     let grants = run(&mut pacer, Instant::now(), Duration::from_secs(1), Some(1));
     let count = |link: u64| grants.iter().filter(|(other, _)| *other == link).count();
     assert_eq!(count(2), 10);
@@ -102,13 +102,14 @@
 #[test]
 fn offer_behind_a_longer_backlog_than_its_due_time_is_refused_at_once() {
     let mut pacer = pacer();
-    assert_eq!(pacer.on_offer(1, &offer(1, 200)), None);
+    assert_eq!(pacer.on_offer(1, &offer(1, 200), Instant::now()), None);
     let refused = pacer.on_offer(
         2,
         &TransferOffer {
             due_ms: 1000,
             ..offer(7, 2)
         },
+        Instant::now(),
     );
     let expected = TransferGrant {
         transfer: 7,
@@ -117,8 +118,30 @@
     };
     assert_eq!(refused, Some(expected));
     pacer.on_link_ended(1);
-    assert_eq!(pacer.backlog_wait(), Duration::ZERO);
-    assert_eq!(pacer.on_offer(2, &offer(8, 2)), None);
+    assert_eq!(pacer.backlog_wait(Instant::now()), Duration::ZERO);
+    assert_eq!(pacer.on_offer(2, &offer(8, 2), Instant::now()), None);
+}
+
+/// Guards against refusals, and against load reports, because of a paused sender whose link stays
+/// open.
+#[test]
+fn offer_of_a_paused_sender_does_not_count_as_backlog() {
+    let mut pacer = pacer();
+    let start = Instant::now();
+    assert_eq!(pacer.on_offer(1, &offer(1, 200), start), None);
+    run(&mut pacer, start, Duration::from_secs(1), Some(1));
+    let now = start + Duration::from_secs(1);
+    assert_eq!(pacer.backlog_wait(now), Duration::ZERO);
+    let short = TransferOffer {
+        due_ms: 1000,
+        ..offer(7, 2)
+    };
+    assert_eq!(pacer.on_offer(2, &short, now), None);
+    let joined = pacer.on_part(1, &part(1));
+    assert!(matches!(joined, Some(Ok(None))), "{joined:?}");
+    let resumed = (0..3).all(|_| matches!(pacer.on_part(1, &part(1)), Some(Ok(None))));
+    assert!(resumed);
+    assert!(pacer.backlog_wait(now) > Duration::from_secs(2));
 }
 
 /// Guards against parts that are sent and then find no memory.
@@ -127,10 +150,10 @@
     let budget = BufferBudget::new(80 * LARGE_FRAME_BYTES as u64);
     let mut pacer = ReceivePacer::new(0, budget.clone());
     let now = Instant::now();
-    pacer.on_offer(1, &offer(1, 60));
+    pacer.on_offer(1, &offer(1, 60), Instant::now());
     pacer.take_grants(now);
     assert_eq!(budget.used(), 60 * LARGE_FRAME_BYTES as u64);
-    pacer.on_offer(2, &offer(1, 60));
+    pacer.on_offer(2, &offer(1, 60), Instant::now());
     for _ in 0..60 {
         pacer.on_part(1, &part(1));
         let grants = pacer.take_grants(now);
@@ -140,7 +163,7 @@
                 bytes: 0,
                 ..offer(1, 0)
             };
-            pacer.on_offer(1, &withdrawal);
+            pacer.on_offer(1, &withdrawal, Instant::now());
             assert_eq!(budget.used(), 0);
             return;
         }
@@ -152,7 +175,7 @@
 #[test]
 fn parts_beyond_the_grants_are_an_error() {
     let mut pacer = pacer();
-    pacer.on_offer(1, &offer(1, 2));
+    pacer.on_offer(1, &offer(1, 2), Instant::now());
     assert!(matches!(pacer.on_part(1, &part(1)), Some(Err(_))));
     assert!(pacer.on_part(1, &part(2)).is_none());
 }
