--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -70,13 +70,36 @@
         self.process_actions(now);
     }
 
+    /// Handles a query that the links didn't send, since its dispatch hasn't been sent whole.
+    pub fn on_dispatch_unsent(&mut self, dispatch: u64, now: Instant) {
+        self.calls.entry.on_dispatch_unsent(dispatch, now);
+        self.process_actions(now);
+    }
+
+    /// Handles the refusal of a dispatch by its receiver, before any of it was sent.
+    pub fn on_dispatch_refused(&mut self, dispatch: u64, now: Instant) {
+        self.counters.count("transfer.refused");
+        self.calls.entry.on_dispatch_refused(dispatch, now);
+        self.process_actions(now);
+    }
+
+    /// Handles the removal of a dispatch that hadn't been sent whole.
+    pub fn on_dispatch_withdrawn(&mut self, dispatch: u64, now: Instant) {
+        self.calls.entry.on_dispatch_withdrawn(dispatch);
+        self.process_actions(now);
+    }
+
     /// Handles the body of a frame from a node, which may be this node itself.
     pub(crate) fn on_frame_body(&mut self, from: NodeId, boot: u64, body: FrameBody, now: Instant) {
         match body {
             FrameBody::Dispatch(dispatch) => {
                 self.calls.owner.on_dispatch(from, boot, dispatch, now);
             }
-            FrameBody::Answer(answer) if answer.entry_boot == self.boot => {
+            FrameBody::Answer(mut answer) if answer.entry_boot == self.boot => {
+                if let Some(load) = answer.load.as_mut().filter(|_| from == self.node) {
+                    // A body that stays at this host doesn't wait for its link.
+                    load.receive_wait_ms = 0;
+                }
                 self.calls.entry.on_answer(from, boot, answer, now);
             }
             FrameBody::Query(query) => self.calls.owner.on_query(from, boot, query, now),
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -148,6 +148,8 @@
             let mut inner = self.inner.borrow_mut();
             let link_wait = inner.links.large_frame_wait();
             inner.core.set_link_wait(link_wait);
+            let receive_wait = inner.links.receive_wait();
+            inner.core.set_receive_wait(receive_wait);
             change(&mut inner.core, Instant::now())
         };
         self.run_actions();
@@ -190,6 +192,15 @@
             CoreEvent::Undelivered(address, frames) => {
                 self.with_core(|core, now| core.on_undelivered(address, &frames, now));
             }
+            CoreEvent::DispatchUnsent(dispatch) => {
+                self.with_core(|core, now| core.on_dispatch_unsent(dispatch, now));
+            }
+            CoreEvent::DispatchRefused(dispatch) => {
+                self.with_core(|core, now| core.on_dispatch_refused(dispatch, now));
+            }
+            CoreEvent::DispatchWithdrawn(dispatch) => {
+                self.with_core(|core, now| core.on_dispatch_withdrawn(dispatch, now));
+            }
             CoreEvent::RunFinished(run, result) => {
                 self.with_core(|core, now| core.on_run_finished(run, result, now));
             }
@@ -221,6 +232,7 @@
         match action {
             MeshAction::Send(address, frame) => inner.links.send(address, *frame),
             MeshAction::ResetLink(address) => inner.links.reset(address),
+            MeshAction::Withdraw(dispatch) => inner.links.withdraw(dispatch),
             MeshAction::Run(request) => {
                 let serving = inner.core.target().serving(Instant::now());
                 let instance = serving.map(|(incarnation, _)| incarnation.instance.clone());
--- a/crates/sequoiagw-node/src/tcp_links.rs
+++ b/crates/sequoiagw-node/src/tcp_links.rs
@@ -6,75 +6,64 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_util::SinkExt;
-use futures_util::StreamExt;
 use prost::Message;
 use rand::Rng;
-use sequoiagw_http::set_socket_options;
 use sequoiagw_http::BufferBudget;
 use sequoiagw_protocol::FrameBody;
-use sequoiagw_protocol::FrameCodec;
 use sequoiagw_protocol::LinkHello;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PeerFrame;
 use sequoiagw_protocol::LARGE_FRAME_BYTES;
-use tokio::net::tcp::OwnedReadHalf;
-use tokio::net::tcp::OwnedWriteHalf;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
-use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc;
 use tokio::sync::Semaphore;
 use tokio::time::timeout;
 use tokio::time::Instant;
-use tokio_util::codec::FramedRead;
-use tokio_util::codec::FramedWrite;
 use tracing::debug;
 use tracing::warn;
 
+use crate::link_handshake::EstablishedLink;
+use crate::link_streams::IncomingFrames;
+use crate::link_streams::OutgoingFrames;
 use crate::link_table::LinkTable;
 use crate::link_table::QueueEnds;
 use crate::link_table::QueueOutcome;
+use crate::link_timers::wait_until_idle;
 use crate::part_joiner::PartJoiner;
+use crate::send_queue::dispatch_id;
 use crate::send_queue::SendQueue;
+use crate::transfer_receiver::TransferReceiver;
 use crate::CoreEvent;
 use crate::EventSender;
 use crate::PeerLinks;
+use crate::ReceivePacer;
 use crate::SendPacer;
+use crate::UnsentDispatches;
 
 /// Time limit for opening a connection, including the exchange of hello frames.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time after which TCP closes the connection to an unresponsive peer.
-const PEER_TIMEOUT: Duration = Duration::from_secs(3);
-/// Time without a frame after which the node that opened a link closes it.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(120);
 /// Number of concurrent handshakes on incoming links, limited so that many nodes that reconnect at
 /// once don't stall calls.
 const HANDSHAKE_LIMIT: usize = 64;
 /// Mean delay after a failed connection attempt, during which frames to that address are reported as
 /// undelivered at once. Also the delay after a failed accept.
 const RETRY_DELAY: Duration = Duration::from_millis(100);
-/// Length prefix and version byte of a frame, in bytes.
-const FRAME_OVERHEAD_BYTES: usize = 5;
 
 /// Connections to other nodes over TCP.
 #[derive(Clone, Debug)]
 pub struct TcpLinks {
     table: Rc<RefCell<LinkTable>>,
-    hello: Rc<PeerFrame>,
-    events: EventSender,
-    pacer: Rc<SendPacer>,
+    pub(crate) hello: Rc<PeerFrame>,
+    pub(crate) events: EventSender,
+    pub(crate) pacer: Rc<SendPacer>,
+    pub(crate) unsent: Rc<UnsentDispatches>,
+    /// Receiving side of large dispatches, `None` if they are sent without grants.
+    receiver: Option<Rc<TransferReceiver>>,
     budget: BufferBudget,
 }
 
-/// Peer at the other end of a link.
-#[derive(Clone, Copy, Debug)]
-struct LinkPeer {
-    address: NodeAddress,
-    boot: u64,
-    joins_parts: bool,
-}
-
 impl TcpLinks {
     /// Creates the links of a node that accepts connections at `address`.
     pub fn new(
@@ -87,12 +76,15 @@
         let hello = FrameBody::Hello(LinkHello {
             address: address.to_string(),
             joins_parts: true,
+            grants_transfers: false,
         });
         Self {
             table: Rc::default(),
             hello: Rc::new(PeerFrame::new(node, boot, hello)),
             events,
             pacer: Rc::new(pacer),
+            unsent: Rc::default(),
+            receiver: None,
             budget: BufferBudget::unlimited(),
         }
     }
@@ -104,8 +96,33 @@
         self
     }
 
-    /// Accepts links from other nodes. Errors of the listener are logged and accepting is retried.
+    /// Grants the parts of large dispatches from nodes that do so as well, at the pace of
+    /// `pacer`. [`Self::accept`] has to run.
+    #[must_use]
+    pub fn with_grants(mut self, pacer: ReceivePacer) -> Self {
+        self.receiver = Some(Rc::new(TransferReceiver::new(pacer)));
+        if let Some(FrameBody::Hello(hello)) = &mut Rc::make_mut(&mut self.hello).body {
+            hello.grants_transfers = true;
+        }
+        self
+    }
+
+    /// Accepts links from other nodes, and grants what they send. Errors of the listener are logged
+    /// and accepting is retried.
     pub async fn accept(&self, listener: TcpListener) {
+        let send_grants = async {
+            match &self.receiver {
+                Some(receiver) => receiver.run().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            () = self.accept_links(listener) => {}
+            () = send_grants => {}
+        }
+    }
+
+    async fn accept_links(&self, listener: TcpListener) {
         let handshakes = Arc::new(Semaphore::new(HANDSHAKE_LIMIT));
         loop {
             let Ok(permit) = Arc::clone(&handshakes).acquire_owned().await else {
@@ -118,9 +135,9 @@
                         let handshake =
                             timeout(CONNECT_TIMEOUT, links.exchange_hellos(stream)).await;
                         drop(permit);
-                        if let Ok(Some((reader, writer, peer))) = handshake {
-                            let ends = links.table.borrow_mut().register(peer.address);
-                            links.serve(peer, reader, writer, ends, false).await;
+                        if let Ok(Some(link)) = handshake {
+                            let ends = links.table.borrow_mut().register(link.peer.address);
+                            links.serve(link, ends, false).await;
                         }
                     });
                 }
@@ -132,42 +149,13 @@
         }
     }
 
-    /// Exchanges hello frames. Returns `None` if the connection fails or the other end sends no valid
-    /// hello frame.
-    async fn exchange_hellos(
-        &self,
-        stream: TcpStream,
-    ) -> Option<(LinkReader, LinkWriter, LinkPeer)> {
-        set_socket_options(&stream, PEER_TIMEOUT).ok()?;
-        let (read_half, write_half) = stream.into_split();
-        let mut reader = FramedRead::new(read_half, FrameCodec::default());
-        let mut writer = FramedWrite::new(write_half, FrameCodec::default());
-        writer.send(&*self.hello).await.ok()?;
-        let frame = match reader.next().await? {
-            Ok(frame) => frame,
-            Err(error) => {
-                warn!(event = "link_refused", reason = "bad_greeting", error = %error);
-                return None;
-            }
-        };
-        let Some(FrameBody::Hello(hello)) = &frame.body else {
-            warn!(event = "link_refused", reason = "no_greeting");
-            return None;
-        };
-        let address = NodeAddress::parse(&hello.address)?;
+    async fn exchange_hellos(&self, stream: TcpStream) -> Option<EstablishedLink> {
+        let link = EstablishedLink::open(stream, &self.hello).await?;
         let _ = self.events.send(CoreEvent::LinkEstablished {
-            node: frame.sender_id(),
-            boot: frame.boot,
+            node: link.peer.node,
+            boot: link.peer.boot,
         });
-        Some((
-            reader,
-            writer,
-            LinkPeer {
-                address,
-                boot: frame.boot,
-                joins_parts: hello.joins_parts,
-            },
-        ))
+        Some(link)
     }
 
     async fn connect(self, address: NodeAddress, mut ends: QueueEnds) {
@@ -176,8 +164,8 @@
             self.exchange_hellos(stream).await
         });
         match handshake.await {
-            Ok(Some((reader, writer, peer))) if peer.address == address => {
-                self.serve(peer, reader, writer, ends, true).await;
+            Ok(Some(link)) if link.peer.address == address => {
+                self.serve(link, ends, true).await;
             }
             _ => {
                 let delay = RETRY_DELAY.mul_f64(rand::rng().random_range(0.5..1.5));
@@ -190,7 +178,7 @@
                 while let Ok(frame) = ends.receiver.try_recv() {
                     frames.push(frame);
                 }
-                let _ = self.events.send(CoreEvent::Undelivered(address, frames));
+                self.report_undelivered(address, frames);
             }
         }
     }
@@ -198,29 +186,49 @@
     /// Transfers frames in both directions until the link ends. Reading and writing don't wait for
     /// each other: two nodes that send each other more than a connection buffers would stop
     /// otherwise.
-    async fn serve(
-        &self,
-        peer: LinkPeer,
-        reader: LinkReader,
-        writer: LinkWriter,
-        ends: QueueEnds,
-        opened_here: bool,
-    ) {
+    async fn serve(&self, link: EstablishedLink, ends: QueueEnds, opened_here: bool) {
+        let EstablishedLink {
+            reader,
+            writer,
+            peer,
+        } = link;
         let QueueEnds {
             id,
             mut receiver,
             reset,
         } = ends;
         let last_frame = Cell::new(Instant::now());
-        let mut queue = SendQueue::new(peer.joins_parts, Rc::clone(&self.pacer));
+        let mut queue = SendQueue::new(peer.joins_parts, Rc::clone(&self.pacer))
+            .with_unsent(Rc::clone(&self.unsent));
+        let (signals, signal_receiver) = mpsc::unbounded_channel();
+        let granting = self.receiver.as_ref().filter(|_| peer.grants_transfers);
+        if let Some(granting) = granting {
+            queue = queue.with_offers();
+            granting.add_link(id, signals.clone());
+        }
+        let incoming = IncomingFrames {
+            reader,
+            joiner: PartJoiner::new(self.budget.clone()),
+            link: id,
+            granting,
+            signals,
+        };
+        let outgoing = OutgoingFrames {
+            writer,
+            frames: &mut receiver,
+            signals: signal_receiver,
+        };
         let lost = tokio::select! {
-            () = self.read_frames(reader, peer, &last_frame) => true,
-            () = self.write_frames(writer, &mut receiver, &mut queue, peer, &last_frame) => true,
+            () = self.read_frames(incoming, peer, &last_frame) => true,
+            () = self.write_frames(outgoing, &mut queue, peer, &last_frame) => true,
             Ok(()) = reset => false,
             () = wait_until_idle(&last_frame), if opened_here => false,
         };
         debug!(event = "link_closed", peer = %peer.address, lost);
         self.table.borrow_mut().unregister(peer.address, id);
+        if let Some(granting) = granting {
+            granting.remove_link(id);
+        }
         receiver.close();
         let mut unsent = queue.take_unsent();
         while let Ok(frame) = receiver.try_recv() {
@@ -230,137 +238,49 @@
             let _ = self.events.send(CoreEvent::LinkLost(peer.address));
         }
         if !unsent.is_empty() {
-            let _ = self
-                .events
-                .send(CoreEvent::Undelivered(peer.address, unsent));
+            self.report_undelivered(peer.address, unsent);
         }
     }
 
-    /// Reports the frames that arrive until the link fails.
-    async fn read_frames(
-        &self,
-        mut reader: LinkReader,
-        peer: LinkPeer,
-        last_frame: &Cell<Instant>,
-    ) {
-        let mut joiner = PartJoiner::new(self.budget.clone());
-        while let Some(read) = reader.next().await {
-            let frame = match read {
-                Ok(frame) => frame,
-                Err(error) => {
-                    warn!(event = "link_failed", peer = %peer.address, error = %error);
-                    return;
-                }
-            };
-            last_frame.set(Instant::now());
-            let node = frame.sender_id();
-            let bytes = frame.encoded_len() + FRAME_OVERHEAD_BYTES;
-            let event = match joiner.join(frame) {
-                Ok(Some(frame)) => CoreEvent::Frame { frame, bytes },
-                Ok(None) => CoreEvent::PartReceived { node, bytes },
-                Err(error) => {
-                    warn!(event = "link_failed", peer = %peer.address, error = %error);
-                    return;
-                }
-            };
-            let _ = self.events.send(event);
-        }
+    /// Reports frames that were never sent whole, without the dispatches that were withdrawn.
+    pub(crate) fn report_undelivered(&self, address: NodeAddress, mut frames: Vec<PeerFrame>) {
+        let unsent = &self.unsent;
+        frames.retain(|frame| {
+            let withdrawn = dispatch_id(frame).is_some_and(|dispatch| unsent.remove(dispatch));
+            !withdrawn
+        });
+        let _ = self.events.send(CoreEvent::Undelivered(address, frames));
     }
 
-    /// Writes the frames of the receiver until the link fails. When another link replaces this
-    /// one, the frames that wait are still written; the peer may go on sending on this link.
-    ///
-    /// Dispatches to another boot of the peer are reported as undelivered instead.
-    async fn write_frames(
-        &self,
-        mut writer: LinkWriter,
-        receiver: &mut UnboundedReceiver<PeerFrame>,
-        queue: &mut SendQueue,
-        peer: LinkPeer,
-        last_frame: &Cell<Instant>,
-    ) {
-        let mut next_part_at = None;
-        loop {
-            while let Ok(frame) = receiver.try_recv() {
-                self.queue_frame(frame, queue, peer);
-            }
-            while let Some(frame) = queue.pop_small() {
-                last_frame.set(Instant::now());
-                if writer.feed(&frame).await.is_err() {
-                    return;
-                }
-            }
-            if writer.flush().await.is_err() {
-                return;
+    /// Returns a frame that has to be sent. A query or cancellation that would overtake its dispatch
+    /// isn't: the owner would bar a call that it has never heard of, and the transfer would be for
+    /// nothing.
+    fn check_order(&self, frame: PeerFrame) -> Option<PeerFrame> {
+        match &frame.body {
+            Some(FrameBody::Dispatch(dispatch)) if frame.encoded_len() > LARGE_FRAME_BYTES => {
+                self.unsent.add(dispatch.call);
             }
-            let part_at = queue.has_large().then(|| {
-                *next_part_at
-                    .get_or_insert_with(|| self.pacer.reserve(LARGE_FRAME_BYTES, Instant::now()))
-            });
-            tokio::select! {
-                biased;
-                () = sleep_until(part_at) => {
-                    next_part_at = None;
-                    let Some(part) = queue.pop_part(Instant::now()) else {
-                        continue;
-                    };
-                    last_frame.set(Instant::now());
-                    if writer.feed(&part).await.is_err() {
-                        return;
-                    }
-                }
-                Some(frame) = receiver.recv() => self.queue_frame(frame, queue, peer),
+            Some(FrameBody::Query(query)) if self.unsent.is_waiting(query.call) => {
+                let _ = self.events.send(CoreEvent::DispatchUnsent(query.call));
+                return None;
             }
+            Some(FrameBody::Cancel(cancel)) if self.unsent.withdraw(cancel.call) => return None,
+            _ => {}
         }
-    }
-
-    fn queue_frame(&self, frame: PeerFrame, queue: &mut SendQueue, peer: LinkPeer) {
-        if is_for_other_boot(&frame, peer.boot) {
-            let _ = self
-                .events
-                .send(CoreEvent::Undelivered(peer.address, vec![frame]));
-        } else {
-            queue.push(frame, Instant::now());
-        }
-    }
-}
-
-type LinkReader = FramedRead<OwnedReadHalf, FrameCodec>;
-type LinkWriter = FramedWrite<OwnedWriteHalf, FrameCodec>;
-
-/// Sleeps until a time, or forever without one.
-async fn sleep_until(time: Option<Instant>) {
-    match time {
-        Some(time) => tokio::time::sleep_until(time).await,
-        None => std::future::pending().await,
-    }
-}
-
-/// Waits until no frame has been sent or received for [`IDLE_TIMEOUT`].
-async fn wait_until_idle(last_frame: &Cell<Instant>) {
-    loop {
-        let idle_deadline = last_frame.get() + IDLE_TIMEOUT;
-        if Instant::now() >= idle_deadline {
-            return;
-        }
-        tokio::time::sleep_until(idle_deadline).await;
-    }
-}
-
-fn is_for_other_boot(frame: &PeerFrame, boot: u64) -> bool {
-    match &frame.body {
-        Some(FrameBody::Dispatch(dispatch)) => dispatch.target_boot != boot && !dispatch.redirected,
-        _ => false,
+        Some(frame)
     }
 }
 
 impl PeerLinks for TcpLinks {
     fn send(&self, to: NodeAddress, frame: PeerFrame) {
+        let Some(frame) = self.check_order(frame) else {
+            return;
+        };
         let outcome = self.table.borrow().queue(to, frame, Instant::now());
         match outcome {
             QueueOutcome::Queued => {}
             QueueOutcome::Unreachable(frame) => {
-                let _ = self.events.send(CoreEvent::Undelivered(to, vec![*frame]));
+                self.report_undelivered(to, vec![*frame]);
             }
             QueueOutcome::NoLink(frame) => {
                 let mut table = self.table.borrow_mut();
@@ -377,6 +297,17 @@
         self.pacer.large_frame_wait()
     }
 
+    fn receive_wait(&self) -> Duration {
+        let receiver = self.receiver.as_ref();
+        receiver.map_or(Duration::ZERO, |receiver| receiver.backlog_wait())
+    }
+
+    fn withdraw(&self, dispatch: u64) {
+        if self.unsent.withdraw(dispatch) {
+            let _ = self.events.send(CoreEvent::DispatchWithdrawn(dispatch));
+        }
+    }
+
     fn reset(&self, to: NodeAddress) {
         self.table.borrow_mut().reset(to);
     }
--- a/crates/sequoiagw-policy/src/entry_failures.rs
+++ b/crates/sequoiagw-policy/src/entry_failures.rs
@@ -45,6 +45,41 @@
         self.retry(call, kind, RetryReason::Undelivered, now);
     }
 
+    /// Handles a query that wasn't sent, since its dispatch hasn't been sent whole: the call is
+    /// pending at this node.
+    pub fn on_dispatch_unsent(&mut self, dispatch: u64, now: Instant) {
+        let Some(call) = self.calls_by_dispatch.get(&dispatch).copied() else {
+            return;
+        };
+        if self.calls[&call].phase != EntryPhase::Withdrawing {
+            self.set_phase(call, EntryPhase::Sending, now + ANSWER_TIMEOUT);
+        }
+    }
+
+    /// Retries a call whose dispatch its receiver refused to take, because its link or its memory is
+    /// occupied, or refuses the call once it has tried all targets. The node hasn't failed: it may
+    /// still take other calls.
+    pub fn on_dispatch_refused(&mut self, dispatch: u64, now: Instant) {
+        let Some(call) = self.calls_by_dispatch.get(&dispatch).copied() else {
+            return;
+        };
+        let entry_call = &self.calls[&call];
+        let mut targets = self.balancer.targets(&entry_call.spec.service).iter();
+        if targets.any(|target| !entry_call.tried_nodes.contains(&target.node)) {
+            self.retry(call, ErrorKind::BodyUnsent, RetryReason::Undelivered, now);
+        } else {
+            self.reply(call, Err(ErrorKind::BodyUnsent));
+        }
+    }
+
+    /// Refuses a call whose dispatch was removed before it had been sent whole, so that it can't
+    /// have run.
+    pub fn on_dispatch_withdrawn(&mut self, dispatch: u64) {
+        if let Some(call) = self.calls_by_dispatch.get(&dispatch).copied() {
+            self.reply(call, Err(ErrorKind::BodyUnsent));
+        }
+    }
+
     /// Whether a dispatch follows an earlier one that may have reached a backend server.
     pub fn is_retry(&self, dispatch: u64, node: NodeId) -> bool {
         let call = self.call_of_dispatch(dispatch, node);
@@ -90,10 +125,16 @@
                 self.reply(call, Err(ErrorKind::DeadlineQueued));
             }
             EntryPhase::NotDispatched => self.dispatch(call, now),
+            EntryPhase::Sending if now >= entry_call.deadline => {
+                let dispatch = entry_call.dispatch_id;
+                self.actions.push(EntryAction::Withdraw(dispatch));
+                self.set_phase(call, EntryPhase::Withdrawing, now + DEADLINE_GRACE);
+            }
+            EntryPhase::Withdrawing => self.reply(call, Err(ErrorKind::DeadlineRunning)),
             _ if now >= entry_call.deadline + DEADLINE_GRACE => {
                 self.reply(call, Err(ErrorKind::DeadlineRunning));
             }
-            EntryPhase::AwaitingAnswer => self.query_owner(call, 0, now),
+            EntryPhase::Sending | EntryPhase::AwaitingAnswer => self.query_owner(call, 0, now),
             EntryPhase::Querying {
                 queried_at,
                 repeats,
