--- a/crates/sequoiagw-mesh/src/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/src/fleet_directory.rs
@@ -244,18 +244,22 @@
             .collect()
     }
 
-    /// Hash over name, boot and slots of the registrations that haven't lapsed, independent of
-    /// their order.
+    /// Hash over name, boot, slots and software version of the registrations that haven't lapsed,
+    /// independent of their order. An unknown software version adds nothing to the hash, so that nodes
+    /// of earlier releases compute the same one.
     pub fn digest(&self) -> u64 {
         self.nodes
             .values()
             .filter(|record| record.lapsed_since.is_none())
             .fold(0, |digest, record| {
                 let registration = &record.registration;
-                let text = format!(
+                let mut text = format!(
                     "{}/{}/{}",
                     registration.name, registration.boot, registration.slots
                 );
+                if !registration.backend_version.is_empty() {
+                    text = format!("{text}/{}", registration.backend_version);
+                }
                 digest ^ xxh3_64(text.as_bytes())
             })
     }
@@ -305,22 +309,49 @@
 
     /// Targets with slots, by service.
     pub fn targets(&self) -> BTreeMap<String, Vec<TargetInfo>> {
+        self.targets_where(|_| true)
+    }
+
+    /// Targets with slots whose registrations `is_selected` selects, by service.
+    pub fn targets_where<IsSelected>(
+        &self,
+        is_selected: IsSelected,
+    ) -> BTreeMap<String, Vec<TargetInfo>>
+    where
+        IsSelected: Fn(&NodeRegistration) -> bool,
+    {
         let mut services: BTreeMap<String, Vec<TargetInfo>> = BTreeMap::new();
         for (node, record) in &self.nodes {
             let registration = &record.registration;
-            if registration.slots == 0 {
+            if registration.slots == 0 || !is_selected(registration) {
                 continue;
             }
             services
                 .entry(registration.service.clone())
                 .or_default()
-                .push(TargetInfo {
-                    node: *node,
-                    boot: registration.boot,
-                    data_centre: registration.data_centre.clone(),
-                    slots: registration.slots,
-                });
+                .push(target_info(*node, registration));
         }
         services
     }
+
+    /// Registrations of a service's nodes that haven't lapsed, in the same order on all nodes.
+    pub fn registered_for<'a>(
+        &'a self,
+        service: &'a str,
+    ) -> impl Iterator<Item = (NodeId, &'a NodeRegistration)> + 'a {
+        self.nodes
+            .iter()
+            .filter(|(_, record)| record.lapsed_since.is_none())
+            .map(|(node, record)| (*node, &record.registration))
+            .filter(move |(_, registration)| registration.service == service)
+    }
+}
+
+fn target_info(node: NodeId, registration: &NodeRegistration) -> TargetInfo {
+    TargetInfo {
+        node,
+        boot: registration.boot,
+        data_centre: registration.data_centre.clone(),
+        slots: registration.slots,
+    }
 }
--- a/crates/sequoiagw-mesh/src/follower_config.rs
+++ b/crates/sequoiagw-mesh/src/follower_config.rs
@@ -47,7 +47,7 @@
             self.wait_while_watchers_report(MeshCore::take_pending_version_read)
                 .await;
         }
-        let key = self.handle.platform_format().config_key().to_owned();
+        let prefix = self.polled_prefix();
         loop {
             let Some(mut after) = self.read_config().await else {
                 self.wait_for_watchers().await;
@@ -56,11 +56,12 @@
                 continue;
             };
             while self.watches_store() {
-                let Some(batch) = self.poll_changes(&key, after, VERSION_POLL_WAIT).await else {
+                let Some(batch) = self.poll_changes(&prefix, after, VERSION_POLL_WAIT).await else {
                     break;
                 };
                 after.number = batch.revision;
-                if !batch.changes.is_empty() {
+                self.apply_changed_orders(&batch.changes, after.era);
+                if self.has_config_change(&batch.changes) {
                     self.activate_newest(batch.changes);
                     sleep(CONFIG_READ_INTERVAL).await;
                     break;
@@ -71,6 +72,38 @@
         }
     }
 
+    /// Prefix of the keys to poll: the configuration's key, or all keys of the operators where they
+    /// also write orders.
+    fn polled_prefix(&self) -> String {
+        let format = self.handle.platform_format();
+        if self.follows_orders() {
+            format.operator_prefix().to_owned()
+        } else {
+            format.config_key().to_owned()
+        }
+    }
+
+    /// Whether changes of the configuration are among these.
+    fn has_config_change(&self, changes: &[KeyChange]) -> bool {
+        let config_key = self.handle.platform_format().config_key();
+        changes.iter().any(|change| match change {
+            KeyChange::Written(entry) => entry.key == config_key,
+            KeyChange::Deleted { key, .. } => key == config_key,
+        })
+    }
+
+    /// Request that reads the configuration, and the orders where there are any.
+    fn config_request(&self) -> StoreRequest {
+        let format = self.handle.platform_format();
+        if self.follows_orders() {
+            let prefix = format.operator_prefix().to_owned();
+            StoreRequest::ReadPrefix { prefix }
+        } else {
+            let key = format.config_key().to_owned();
+            StoreRequest::Read { key }
+        }
+    }
+
     /// Waits a limited time until the registrations have been read. Before that this node knows
     /// only itself, and would take itself for a watcher and read the configuration.
     async fn wait_for_registrations(&self) {
@@ -104,9 +137,9 @@
     async fn read_config(&self) -> Option<StoreRevision> {
         loop {
             let before = self.version_number();
-            let key = self.handle.platform_format().config_key().to_owned();
-            match self.read(StoreRequest::Read { key }).await {
+            match self.read(self.config_request()).await {
                 Ok((entries, revision)) => {
+                    self.apply_orders(&entries, revision.era);
                     for entry in entries {
                         self.activate_config(entry);
                     }
@@ -125,9 +158,10 @@
 
     /// Activates the newest of several versions and skips the others.
     fn activate_newest(&self, changes: Vec<KeyChange>) {
+        let config_key = self.handle.platform_format().config_key();
         let newest = changes.into_iter().rev().find_map(|change| match change {
-            KeyChange::Written(entry) => Some(entry),
-            KeyChange::Deleted { .. } => None,
+            KeyChange::Written(entry) if entry.key == config_key => Some(entry),
+            KeyChange::Written(_) | KeyChange::Deleted { .. } => None,
         });
         if let Some(entry) = newest {
             self.activate_config(entry);
--- a/crates/sequoiagw-mesh/src/mesh_action.rs
+++ b/crates/sequoiagw-mesh/src/mesh_action.rs
@@ -25,4 +25,6 @@
     DepartureHeld,
     /// Follow the store, since the watchers of the data centre have lost it.
     WatchersLost,
+    /// Write a roll-out's record, which [`crate::MeshCore::take_rollout_proposal`] returns.
+    RolloutProposed,
 }
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -44,6 +44,8 @@
     watchers_lost: Rc<Notify>,
     /// Notified when someone else knows the latest departure of the backend server.
     departure_held: Rc<Notify>,
+    /// Notified when a roll-out's record has to be written to the store.
+    rollout_proposed: Rc<Notify>,
     /// Notified when a timer may be due earlier than the event loop is set to wake.
     timer_changed: Rc<Notify>,
 }
@@ -69,6 +71,7 @@
             registration_changed: Rc::default(),
             watchers_lost: Rc::default(),
             departure_held: Rc::default(),
+            rollout_proposed: Rc::default(),
             timer_changed: Rc::default(),
         }
     }
@@ -93,6 +96,11 @@
         self.departure_held.notified()
     }
 
+    /// Waits until a roll-out's record has to be written to the store.
+    pub async fn wait_for_rollout_proposal(&self) {
+        self.rollout_proposed.notified().await;
+    }
+
     /// Handles events and timers until the sender of the events is dropped.
     pub async fn run(&self, mut receiver: UnboundedReceiver<CoreEvent>) {
         loop {
@@ -238,6 +246,7 @@
             MeshAction::RegistrationChanged => self.registration_changed.notify_one(),
             MeshAction::DepartureHeld => self.departure_held.notify_waiters(),
             MeshAction::WatchersLost => self.watchers_lost.notify_waiters(),
+            MeshAction::RolloutProposed => self.rollout_proposed.notify_one(),
         }
     }
 
--- a/crates/sequoiagw-mesh/src/mesh_settings.rs
+++ b/crates/sequoiagw-mesh/src/mesh_settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sequoiagw_policy::RolloutSettings;
+
 /// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct MeshSettings {
@@ -34,6 +36,8 @@
     pub grace_period: Duration,
     /// Retries that the fleet may make.
     pub retry_budget: RetryBudgetSettings,
+    /// Bounds of roll-outs; `None` where roll-outs are off.
+    pub rollout: Option<RolloutSettings>,
 }
 
 /// Backend server next to a node.
--- a/crates/sequoiagw-mesh/src/node_registration.rs
+++ b/crates/sequoiagw-mesh/src/node_registration.rs
@@ -63,6 +63,9 @@
     /// Era of the store in which the registration was written.
     #[serde(default)]
     pub store_era: StoreEra,
+    /// Software version of the backend server; empty if it is unknown or roll-outs are off.
+    #[serde(default, skip_serializing_if = "String::is_empty")]
+    pub backend_version: String,
 }
 
 impl NodeRegistration {
--- a/crates/sequoiagw-mesh/src/platform_format.rs
+++ b/crates/sequoiagw-mesh/src/platform_format.rs
@@ -3,10 +3,13 @@
 use bytes::Bytes;
 use sequoiagw_http::HttpReply;
 use sequoiagw_http::HttpRequest;
+use sequoiagw_protocol::RolloutRecord;
+use sequoiagw_store::KeyEntry;
 use thiserror::Error;
 
 use crate::Heartbeat;
 use crate::MeshVersion;
+use crate::RolloutOrder;
 
 /// Names of the headers that a node reads and sets.
 #[derive(Clone, Copy, Debug)]
@@ -52,6 +55,14 @@
     pub detail: String,
 }
 
+/// Error for an operators' order that doesn't have the platform's format.
+#[derive(Clone, Debug, Error)]
+#[error("the order can't be read: {detail}")]
+pub struct OrderReadError {
+    /// The part that can't be read.
+    pub detail: String,
+}
+
 /// Header names and message formats of the platform. An implementation only translates; it
 /// makes no decisions.
 pub trait PlatformFormat {
@@ -66,6 +77,20 @@
     /// Errors: the source doesn't have the platform's format.
     fn read_config(&self, source: &Bytes) -> Result<MeshVersion, ConfigReadError>;
 
+    /// Prefix of all keys that the operators write.
+    fn operator_prefix(&self) -> &str;
+
+    /// Prefix of the keys of the operators' orders to roll out a software version.
+    fn rollout_order_prefix(&self) -> &str;
+
+    /// Parses an entry with an operators' order; `None` if its key isn't that of an order.
+    ///
+    /// Errors: the value doesn't have the platform's format, or is of another service than the key.
+    fn read_rollout_order(&self, entry: &KeyEntry) -> Result<Option<RolloutOrder>, OrderReadError>;
+
+    /// Key and value that tell the operators the state of a roll-out.
+    fn rollout_status(&self, record: &RolloutRecord) -> (String, String);
+
     /// Parses a request to one of the node's own addresses.
     fn parse_local_request(&self, request: &HttpRequest) -> LocalRequest;
 }
--- a/crates/sequoiagw-mesh/src/registration_change.rs
+++ b/crates/sequoiagw-mesh/src/registration_change.rs
@@ -59,6 +59,7 @@
             link_mbps: record.link_mbps,
             leaving: record.leaving.map(Into::into),
             store_era: era,
+            backend_version: record.backend_version,
         };
         Self::Written(registration, revision)
     }
@@ -86,6 +87,7 @@
                 link_mbps: registration.link_mbps,
                 name: registration.name.clone(),
                 leaving: registration.leaving.clone().map(Into::into),
+                backend_version: registration.backend_version.clone(),
                 ..MemberRecord::default()
             },
         }
--- a/crates/sequoiagw-mesh/src/store_follower.rs
+++ b/crates/sequoiagw-mesh/src/store_follower.rs
@@ -40,7 +40,7 @@
 #[derive(Clone)]
 pub struct StoreFollower {
     pub(crate) handle: MeshHandle,
-    client: StoreClient,
+    pub(crate) client: StoreClient,
     pub(crate) health: StoreHealth,
     /// Whether the registrations have been read since the process started.
     pub(crate) registrations_read: Rc<Cell<bool>>,
--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -47,6 +47,8 @@
     pub phase: HeartbeatPhase,
     /// Rest of the time after its start during which the process is slower.
     pub warmup_left: Duration,
+    /// Software version of the process, empty if it states none.
+    pub version: String,
 }
 
 /// Identifies one start of a backend server.
@@ -95,6 +97,7 @@
     sequence: u64,
     slots: u32,
     leaving: bool,
+    version: String,
     warm_up_end: Instant,
     /// Number of heartbeats received.
     heartbeats: u32,
@@ -184,6 +187,7 @@
             sequence: heartbeat.sequence,
             slots: heartbeat.slots,
             leaving: was_leaving || heartbeat.phase == HeartbeatPhase::Draining,
+            version: heartbeat.version.clone(),
             warm_up_end: now + heartbeat.warmup_left,
             heartbeats,
             last_heartbeat: now,
@@ -265,6 +269,18 @@
         self.leaving().or(self.departed.latest())
     }
 
+    /// Software version of the incarnation that sent the newest heartbeat, empty if it is unknown.
+    pub fn version(&self) -> &str {
+        self.current
+            .as_ref()
+            .map_or("", |current| &current.version)
+    }
+
+    /// Time at which the warm-up of the current incarnation ends or has ended.
+    pub fn warm_up_end(&self) -> Option<Instant> {
+        self.current.as_ref().map(|current| current.warm_up_end)
+    }
+
     /// Whether the backend server started so recently that it is still slower.
     pub fn is_warming_up(&self, now: Instant) -> bool {
         self.current
--- a/crates/sequoiagw-mesh/tests/fleet/restored_store.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/restored_store.rs
@@ -163,6 +163,7 @@
             slots,
             phase: HeartbeatPhase::Ready,
             warmup_left: Duration::ZERO,
+            version: String::new(),
         };
         handle.with_core(|core, now| core.on_heartbeat(&heartbeat, now));
     }
--- a/crates/sequoiagw-mesh/tests/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/tests/fleet_directory.rs
@@ -22,6 +22,7 @@
         link_mbps: 0,
         leaving: None,
         store_era: StoreEra::default(),
+        backend_version: String::new(),
     }
 }
 
--- a/crates/sequoiagw-mesh/tests/mesh_core.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core.rs
@@ -241,6 +241,7 @@
         slots: 12,
         phase: HeartbeatPhase::Ready,
         warmup_left: Duration::ZERO,
+        version: String::new(),
     }
 }
 
@@ -422,6 +423,7 @@
         slots: 12,
         phase: HeartbeatPhase::Ready,
         warmup_left: Duration::ZERO,
+        version: String::new(),
     }
 }
 
--- a/crates/sequoiagw-mesh/tests/support/mod.rs
+++ b/crates/sequoiagw-mesh/tests/support/mod.rs
@@ -47,6 +47,7 @@
             ratio: 0.2,
             extra_per_window: 50.0,
         },
+        rollout: None,
     }
 }
 
@@ -62,6 +63,7 @@
         link_mbps: link_mbps(name),
         leaving: None,
         store_era: StoreEra::default(),
+        backend_version: String::new(),
     }
 }
 
--- a/crates/sequoiagw-mesh/tests/target_monitor.rs
+++ b/crates/sequoiagw-mesh/tests/target_monitor.rs
@@ -25,6 +25,7 @@
         slots: 12,
         phase,
         warmup_left: Duration::ZERO,
+        version: String::new(),
     }
 }
 
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -18,6 +18,7 @@
 mod occupancy_times;
 mod owner_action;
 mod owner_call;
+mod owner_gate;
 mod owner_keys;
 mod owner_machine;
 mod owner_records;
--- a/crates/sequoiagw-policy/src/owner_machine.rs
+++ b/crates/sequoiagw-policy/src/owner_machine.rs
@@ -66,6 +66,8 @@
     pub(crate) next_run: u64,
     pub(crate) next_nonce: u64,
     pub(crate) draining: bool,
+    /// Whether calls are refused because of the backend server's software version.
+    pub(crate) version_held: bool,
     pub(crate) actions: Vec<OwnerAction>,
 }
 
@@ -100,6 +102,7 @@
             next_run: 0,
             next_nonce: 0,
             draining: false,
+            version_held: false,
             actions: Vec::new(),
         }
     }
@@ -149,22 +152,6 @@
         self.refuse_queued(now);
     }
 
-    /// Refuses the queued calls without a key, as not run, because the backend server is
-    /// leaving.
-    pub fn refuse_queued(&mut self, now: Instant) {
-        for id in self.queue.call_ids() {
-            // A keyed call stays queued, because its key is claimed for this node.
-            if self
-                .calls
-                .get(&id)
-                .is_some_and(|call| call.dispatch.key.is_empty())
-            {
-                self.queue.remove(id);
-                self.refuse(id, ErrorKind::TargetDraining, now);
-            }
-        }
-    }
-
     /// Refuses the queued calls that `is_held` selects, as not run.
     pub fn refuse_held<IsHeld>(&mut self, is_held: IsHeld, now: Instant)
     where
@@ -341,6 +328,9 @@
         if self.draining {
             return Some(ErrorKind::TargetDraining);
         }
+        if self.version_held {
+            return Some(ErrorKind::VersionHeld);
+        }
         (dispatch.service != self.settings.service).then_some(ErrorKind::ServiceMismatch)
     }
 
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -80,6 +80,9 @@
     /// Era of the store to which the revision belongs.
     #[prost(uint64, tag = "14")]
     pub store_era: u64,
+    /// Software version of the backend server; empty if it is unknown or roll-outs are off.
+    #[prost(string, tag = "15")]
+    pub backend_version: String,
 }
 
 /// Probe of a member, or request to probe another one on the sender's behalf.
