Types and signatures of the roll-outs' decision code

RolloutRecord gains driver_claims: the sum of the exposure caps of successive drivers is bounded only if their number is, and a node that missed records cannot count them.

--- a/crates/sequoiagw-policy/src/target_balancer.rs
+++ b/crates/sequoiagw-policy/src/target_balancer.rs
@@ -10,6 +10,7 @@
 
 use crate::target_view::TargetView;
 use crate::AnswerSizes;
+use crate::CanaryTarget;
 use crate::PickRequest;
 use crate::PlacementRecord;
 use crate::RunTimes;
@@ -30,6 +31,7 @@
 pub struct TargetBalancer {
     pub(crate) data_centre: String,
     services: BTreeMap<String, Vec<TargetInfo>>,
+    pub(crate) canaries: HashMap<String, CanaryTarget>,
     pub(crate) views: HashMap<NodeId, TargetView>,
     pub(crate) run_times: RunTimes,
     pub(crate) answer_sizes: AnswerSizes,
@@ -41,6 +43,7 @@
         Self {
             data_centre: data_centre.to_owned(),
             services: BTreeMap::new(),
+            canaries: HashMap::new(),
             views: HashMap::new(),
             run_times: RunTimes::default(),
             answer_sizes: AnswerSizes::default(),
@@ -56,6 +59,16 @@
         self.services = services;
     }
 
+    /// Sets or removes the target that gets a share (0 to 1) of a service's calls;
+    /// [`Self::set_targets`] leaves it out. Set before the targets, so that what has been observed
+    /// of the target is kept.
+    pub fn set_canary(&mut self, service: &str, canary: Option<CanaryTarget>) {
+        match canary {
+            Some(canary) => self.canaries.insert(service.to_owned(), canary),
+            None => self.canaries.remove(service),
+        };
+    }
+
     /// Targets of a service.
     pub fn targets(&self, service: &str) -> &[TargetInfo] {
         self.services.get(service).map_or(&[], Vec::as_slice)
--- a/crates/sequoiagw-protocol/src/rollout_message.rs
+++ b/crates/sequoiagw-protocol/src/rollout_message.rs
@@ -65,6 +65,10 @@
     /// Era of the store to which the revisions belong.
     #[prost(uint64, tag = "10")]
     pub store_era: u64,
+    /// Number of times that a node has claimed the driver's role for this order. Each claim comes
+    /// with an exposure cap of its own, so their number bounds the sum.
+    #[prost(uint32, tag = "11")]
+    pub driver_claims: u32,
 }
 
 /// A record with the age of its order at the time of sending. Hosts' clocks differ, so the age is
