--- a/crates/sequoiagw-mesh/src/core_actions.rs
+++ b/crates/sequoiagw-mesh/src/core_actions.rs
@@ -45,7 +45,10 @@
                 CallAction::Reply(call, reply) => {
                     self.actions.push(MeshAction::Reply(call, reply));
                 }
-                CallAction::Run(request) => self.actions.push(MeshAction::Run(request)),
+                CallAction::Run(request) => {
+                    self.record_run_start(&request, now);
+                    self.actions.push(MeshAction::Run(request));
+                }
                 CallAction::Abort(run) => self.actions.push(MeshAction::Abort(run)),
                 // Calls carry no idempotency keys here, so the owner requests no claims.
                 CallAction::Claim(_, _) => self.counters.count("claim.unexpected"),
--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -103,10 +103,7 @@
             }
         }
         self.known_boots = boots;
-        self.calls
-            .entry
-            .balancer_mut()
-            .set_targets(self.directory.targets());
+        self.update_targets(now);
         let node_count = self.directory.len().max(1) as f64;
         let extra_retries =
             self.settings.retry_budget.extra_per_window * EXTRA_RETRIES_FRACTION / node_count;
@@ -118,6 +115,16 @@
         self.process_actions(now);
     }
 
+    /// Sets the targets that calls may use.
+    fn update_targets(&mut self, now: Instant) {
+        if self.has_rollouts() {
+            self.update_rollouts(now);
+        } else {
+            let targets = self.directory.targets();
+            self.calls.entry.balancer_mut().set_targets(targets);
+        }
+    }
+
     /// Requests the configuration and all registrations from a peer, since this process started
     /// while the store is unavailable.
     pub(crate) fn join_through_peer(&mut self, peer: NodeId, record: MemberRecord, now: Instant) {
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -74,7 +74,7 @@
     pub(crate) fn on_frame_body(&mut self, from: NodeId, boot: u64, body: FrameBody, now: Instant) {
         match body {
             FrameBody::Dispatch(dispatch) => {
-                self.calls.owner.on_dispatch(from, boot, dispatch, now);
+                self.on_dispatch(from, boot, dispatch, now);
             }
             FrameBody::Answer(answer) if answer.entry_boot == self.boot => {
                 self.calls.entry.on_answer(from, boot, answer, now);
@@ -105,6 +105,9 @@
             FrameBody::Departure(notice) => self.on_departure_notice(from, notice),
             FrameBody::DepartureReply(reply) => self.on_departure_reply(from, reply, now),
             FrameBody::Crashes(received) => self.on_crash_records(from, &received, now),
+            FrameBody::Rollouts(received) => self.on_rollout_table(from, received, now),
+            FrameBody::RunStatsRequest(request) => self.on_run_stats_request(from, &request, now),
+            FrameBody::RunStats(reply) => self.on_run_stats(from, &reply, now),
             _ => self.counters.count("frame.unexpected"),
         }
     }
--- a/crates/sequoiagw-mesh/src/core_target.rs
+++ b/crates/sequoiagw-mesh/src/core_target.rs
@@ -20,6 +20,7 @@
     /// Handles a heartbeat of the backend server.
     pub fn on_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) -> HeartbeatOutcome {
         let previous = self.target.incarnation().cloned();
+        let previous_version = self.registered_version();
         let outcome = self.target.on_heartbeat(heartbeat, now);
         if self.target.leaving().is_some() {
             self.share_departure(now);
@@ -27,6 +28,10 @@
         if self.target.incarnation() != previous.as_ref() {
             self.set_request_limit(None, now);
         }
+        if self.registered_version() != previous_version {
+            self.actions.push(MeshAction::RegistrationChanged);
+        }
+        self.update_rollouts_on_heartbeat(now);
         self.update_slot_offer(now);
         outcome
     }
--- a/crates/sequoiagw-mesh/src/core_watchers.rs
+++ b/crates/sequoiagw-mesh/src/core_watchers.rs
@@ -41,7 +41,7 @@
             sender: Some(own),
             version: self.active_version_number(),
             crash_hash: Some(self.calls.crashes.hash()),
-            rollout_hash: None,
+            rollout_hash: self.rollout_hash(),
         };
         self.announce_crashes();
         self.broadcast_to_data_centre(&FrameBody::Digest(digest), now);
@@ -92,6 +92,7 @@
         if let Some(hash) = received.crash_hash {
             self.on_crash_hash(from, hash, now);
         }
+        self.on_rollout_hash(from, received.rollout_hash, now);
         self.on_peer_version(from, received.version, now);
         let store_unavailable = sender_lacks_store || self.store_access == StoreAccess::Failing;
         let must_join = store_unavailable && self.active_version.is_none();
--- a/crates/sequoiagw-mesh/src/follower_config.rs
+++ b/crates/sequoiagw-mesh/src/follower_config.rs
@@ -86,10 +86,15 @@
     /// Whether changes of the configuration are among these.
     fn has_config_change(&self, changes: &[KeyChange]) -> bool {
         let config_key = self.handle.platform_format().config_key();
-        changes.iter().any(|change| match change {
+        let is_config = |change: &KeyChange| match change {
             KeyChange::Written(entry) => entry.key == config_key,
             KeyChange::Deleted { key, .. } => key == config_key,
-        })
+        };
+        if self.follows_orders() {
+            changes.iter().any(is_config)
+        } else {
+            !changes.is_empty()
+        }
     }
 
     /// Request that reads the configuration, and the orders where there are any.
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -25,6 +25,7 @@
 use sequoiagw_store::StoreEra;
 use tokio::time::Instant;
 
+use crate::node_rollouts::NodeRollouts;
 use crate::DepartureHolders;
 use crate::DepartureList;
 use crate::DepartureRecovery;
@@ -91,6 +92,8 @@
     pub(crate) store_access: StoreAccess,
     /// Latest known era of the store.
     pub(crate) store_era: StoreEra,
+    /// `None` where roll-outs are off.
+    pub(crate) rollouts: Option<NodeRollouts>,
     pub(crate) counters: NodeCounters,
     pub(crate) actions: Vec<MeshAction>,
 }
@@ -133,6 +136,7 @@
             leave_plan: None,
             store_access: StoreAccess::Available,
             store_era: StoreEra::default(),
+            rollouts: NodeRollouts::for_settings(&settings),
             counters,
             actions: Vec::new(),
             settings,
@@ -224,6 +228,7 @@
             link_mbps: self.settings.link_mbps,
             leaving: self.target.latest_departure().cloned(),
             store_era: self.store_era,
+            backend_version: self.registered_version(),
         }
     }
 
@@ -280,9 +285,11 @@
         if matches!(result, BackendResult::Answered { .. }) {
             self.target.on_answer(now);
         }
+        self.record_run_end(run, &result, now);
         let server = self.target.staying().map(TargetIncarnation::process);
         self.calls.crashes.set_server(server);
         self.calls.on_run_finished(run, result, now);
+        self.process_rollout_actions();
         self.process_actions(now);
     }
 
@@ -297,6 +304,7 @@
             self.counters.count("directory.expired");
             self.on_directory_changed(now);
         }
+        self.on_rollout_tick(now);
         self.process_actions(now);
     }
 
@@ -311,6 +319,7 @@
             heartbeat_deadline,
             self.departure_recovery.next_wake(),
             self.directory.next_expiry(now),
+            self.next_rollout_wake(now),
         ];
         times.into_iter().flatten().min()
     }
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -124,6 +124,7 @@
     tokio::task::spawn_local(follower.clone().request_config_from_peers());
     tokio::task::spawn_local(follower.clone().follow_config());
     tokio::task::spawn_local(follower.clone().broadcast_digests());
+    tokio::task::spawn_local(follower.clone().follow_rollouts());
     tokio::task::spawn_local(follower.follow_registrations());
     tokio::task::spawn_local(registrar.run());
     let event_handle = handle.clone();
--- a/crates/sequoiagw-mesh/src/stored_rollout.rs
+++ b/crates/sequoiagw-mesh/src/stored_rollout.rs
@@ -72,6 +72,8 @@
     driver: String,
     objections: Vec<StoredObjection>,
     writer: String,
+    #[serde(default)]
+    driver_claims: u32,
 }
 
 impl From<&RolloutRecord> for StoredRollout {
@@ -89,6 +91,7 @@
             driver: record.driver.clone(),
             objections: objections.collect(),
             writer: record.writer.clone(),
+            driver_claims: record.driver_claims,
         }
     }
 }
@@ -122,6 +125,7 @@
             driver: self.driver,
             objections: objections.collect(),
             writer: self.writer,
+            driver_claims: self.driver_claims,
             revision,
             store_era: era.0,
         }
--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -271,9 +271,7 @@
 
     /// Software version of the incarnation that sent the newest heartbeat, empty if it is unknown.
     pub fn version(&self) -> &str {
-        self.current
-            .as_ref()
-            .map_or("", |current| &current.version)
+        self.current.as_ref().map_or("", |current| &current.version)
     }
 
     /// Time at which the warm-up of the current incarnation ends or has ended.
--- a/crates/sequoiagw-mesh/tests/fleet/fleet_node.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/fleet_node.rs
@@ -56,6 +56,7 @@
         tasks.spawn_local(follower.clone().request_config_from_peers());
         tasks.spawn_local(follower.clone().follow_config());
         tasks.spawn_local(follower.clone().broadcast_digests());
+        tasks.spawn_local(follower.clone().follow_rollouts());
         tasks.spawn_local(follower.follow_registrations());
         tasks.spawn_local(registrar.run());
         let event_handle = handle.clone();
--- a/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
@@ -10,6 +10,7 @@
 use sequoiagw_store::ChangeBatch;
 use sequoiagw_store::EraAnswer;
 use sequoiagw_store::KeyChange;
+use sequoiagw_store::KeyCondition;
 use sequoiagw_store::KeyEntry;
 use sequoiagw_store::LeaseId;
 use sequoiagw_store::PollFuture;
@@ -88,6 +89,16 @@
         })
     }
 
+    fn holds(&self, condition: &KeyCondition) -> bool {
+        match condition {
+            KeyCondition::Absent(key) => !self.entries.contains_key(key),
+            KeyCondition::Unchanged(key, revision) => {
+                let entry = self.entries.get(key);
+                entry.is_some_and(|entry| entry.mod_revision == *revision)
+            }
+        }
+    }
+
     fn execute(&mut self, request: StoreRequest) -> Result<StoreReply, StoreError> {
         let revision = self.revision;
         Ok(match request {
@@ -103,7 +114,17 @@
                     revision,
                 }
             }
-            StoreRequest::Commit { puts, .. } => self.commit(puts)?,
+            StoreRequest::Commit {
+                conditions, puts, ..
+            } => {
+                if !conditions.iter().all(|condition| self.holds(condition)) {
+                    return Ok(StoreReply::Committed {
+                        applied: false,
+                        revision: 0,
+                    });
+                }
+                self.commit(puts)?
+            }
             StoreRequest::Grant { ttl_s } => {
                 self.last_lease += 1;
                 let lease = LeaseId(self.last_lease);
--- a/crates/sequoiagw-mesh/tests/number_format/mod.rs
+++ b/crates/sequoiagw-mesh/tests/number_format/mod.rs
@@ -1,12 +1,18 @@
 //! Platform format of tests, in which a configuration is only the number of a version.
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use sequoiagw_http::HttpRequest;
 use sequoiagw_mesh::ConfigReadError;
 use sequoiagw_mesh::HeaderNames;
 use sequoiagw_mesh::LocalRequest;
 use sequoiagw_mesh::MeshVersion;
+use sequoiagw_mesh::OrderReadError;
 use sequoiagw_mesh::PlatformFormat;
+use sequoiagw_mesh::RolloutOrder;
+use sequoiagw_protocol::RolloutRecord;
+use sequoiagw_store::KeyEntry;
 
 use crate::support::version;
 
@@ -24,7 +30,15 @@
     caller_service: "Service",
 };
 
-/// Platform format in which a configuration is only the number of a version.
+/// Prefix of the operators' keys, which includes that of the configuration.
+pub const OPERATOR_PREFIX: &str = "config";
+/// Prefix of the keys of orders.
+pub const ORDER_PREFIX: &str = "config-orders/";
+/// Prefix of the keys of what the operators are told.
+pub const STATUS_PREFIX: &str = "state/";
+
+/// Platform format in which a configuration is only the number of a version, an order the new version
+/// and the duration in seconds, and a status the number of the stage.
 pub struct NumberFormat;
 
 impl PlatformFormat for NumberFormat {
@@ -44,6 +58,36 @@
         Ok(version(number))
     }
 
+    fn operator_prefix(&self) -> &str {
+        OPERATOR_PREFIX
+    }
+
+    fn rollout_order_prefix(&self) -> &str {
+        ORDER_PREFIX
+    }
+
+    fn read_rollout_order(&self, entry: &KeyEntry) -> Result<Option<RolloutOrder>, OrderReadError> {
+        let Some(service) = entry.key.strip_prefix(ORDER_PREFIX) else {
+            return Ok(None);
+        };
+        let unreadable = || OrderReadError {
+            detail: entry.value.clone(),
+        };
+        let (new_version, seconds) = entry.value.split_once(' ').ok_or_else(unreadable)?;
+        let seconds: f64 = seconds.parse().map_err(|_| unreadable())?;
+        Ok(Some(RolloutOrder {
+            service: service.to_owned(),
+            new_version: new_version.to_owned(),
+            duration: Duration::from_secs_f64(seconds),
+            revision: entry.mod_revision,
+        }))
+    }
+
+    fn rollout_status(&self, record: &RolloutRecord) -> (String, String) {
+        let key = format!("{STATUS_PREFIX}{}", record.service);
+        (key, record.stage.to_string())
+    }
+
     fn parse_local_request(&self, _request: &HttpRequest) -> LocalRequest {
         LocalRequest::Readiness
     }
