--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -36,6 +36,9 @@
             .find(|(registration, _)| registration.name == self.settings.name);
         let departed = own.and_then(|(registration, _)| registration.leaving.clone());
         self.store_access = StoreAccess::Available;
+        if let Some(rollouts) = &mut self.rollouts {
+            rollouts.registrations_read = true;
+        }
         self.directory.replace(registrations, era, now);
         if let Some(departure) = departed {
             self.restore_departed(departure, now);
--- a/crates/sequoiagw-mesh/src/core_rollout_calls.rs
+++ b/crates/sequoiagw-mesh/src/core_rollout_calls.rs
@@ -20,13 +20,13 @@
 use sequoiagw_protocol::RunStatsRequest;
 use tokio::time::Instant;
 
-use crate::core_rollouts::log_proposal;
 use crate::node_rollouts::NodeRollouts;
 use crate::node_rollouts::OpenRun;
 use crate::rollout_gate::gate_state;
 use crate::rollout_gate::is_usable;
+use crate::rollout_gate::next_change;
 use crate::rollout_gate::GateState;
-use crate::MeshAction;
+use crate::rollout_gate::OLD_VERSION_GRACE;
 use crate::MeshCore;
 use crate::NodeRegistration;
 use crate::RolloutProposal;
@@ -45,20 +45,36 @@
         if let Some(rollouts) = &mut self.rollouts {
             rollouts.update_controller(&self.settings.name, &backend.service, version, now);
         }
-        self.update_rollout_members(now);
         self.update_rollout_targets(now);
-        self.process_rollout_actions();
-        self.update_rollout_gate(now);
+        self.update_own_rollout(now);
         self.process_actions(now);
     }
 
-    /// Updates what depends on the backend server's version and readiness.
+    /// Updates what depends on the state of this node's backend server.
     pub(crate) fn update_rollouts_on_heartbeat(&mut self, now: Instant) {
+        let backend = &self.settings.backend;
+        let version = self.target.version();
+        if let Some(rollouts) = &mut self.rollouts {
+            rollouts.update_controller(&self.settings.name, &backend.service, version, now);
+            self.update_own_rollout(now);
+        }
+    }
+
+    /// Updates what depends on the registered nodes.
+    pub(crate) fn update_rollouts_on_registrations(&mut self, now: Instant) {
         if self.has_rollouts() {
-            self.update_rollouts(now);
+            self.update_rollout_writer_position();
+            self.update_own_rollout(now);
         }
     }
 
+    /// Updates this node's part in the roll-out of its service, and the owner's gate.
+    fn update_own_rollout(&mut self, now: Instant) {
+        self.update_rollout_members(now);
+        self.process_rollout_actions();
+        self.update_rollout_gate(now);
+    }
+
     /// Tells this node's part in a roll-out which nodes take part, and whether its own backend server
     /// is ready.
     fn update_rollout_members(&mut self, now: Instant) {
@@ -120,23 +136,14 @@
         }
     }
 
-    /// Queues a record of this node's controller to be written in the present era of the store.
-    fn propose(&mut self, mut proposal: RolloutProposal) {
-        proposal.record.store_era = self.store_era.0;
-        log_proposal(&proposal);
-        self.counters.count("rollout.proposed");
-        if let Some(rollouts) = &mut self.rollouts {
-            rollouts.proposals.push(proposal);
-        }
-        self.actions.push(MeshAction::RolloutProposed);
-    }
-
     /// Sets the targets that calls may use.
     pub(crate) fn update_rollout_targets(&mut self, now: Instant) {
         let Some(rollouts) = &mut self.rollouts else {
             return;
         };
         let table = &rollouts.table;
+        let changes = table.rollouts().filter_map(|known| next_change(known, now));
+        rollouts.target_change = changes.min();
         let targets = self.directory.targets_where(|registration| {
             let known = table.rollout(&registration.service);
             is_usable(known, &registration.backend_version, now)
@@ -273,12 +280,16 @@
         let Some(known) = known.filter(|_| request.service == *service) else {
             return;
         };
+        // The driver takes no open calls in this stage as a promise that none will follow.
+        let may_accept = known.record.stage() == RolloutStage::Shifting
+            && now < known.stage_since + OLD_VERSION_GRACE;
+        let open_calls = self.calls.owner.open_calls() as u32;
         let reply = RunStatsReply {
             service: service.clone(),
             version: self.target.version().to_owned(),
             routes: rollouts.statistics.reply(now),
             started_runs: rollouts.statistics.started_runs(),
-            open_calls: self.calls.owner.open_calls() as u32,
+            open_calls: open_calls.max(u32::from(may_accept)),
             order_revision: known.record.order_revision,
             stage: known.record.stage,
         };
--- a/crates/sequoiagw-mesh/src/core_rollouts.rs
+++ b/crates/sequoiagw-mesh/src/core_rollouts.rs
@@ -1,5 +1,6 @@
 //! Roll-outs: what this node knows of them, and what it writes and sends.
 
+use std::fmt::Write;
 use std::time::Duration;
 
 use sequoiagw_policy::RolloutController;
@@ -15,14 +16,14 @@
 
 use crate::node_rollouts::NodeRollouts;
 use crate::rollout_gate::next_change;
-use crate::rollout_proposal::watcher_proposal;
-use crate::MeshAction;
 use crate::MeshCore;
 use crate::MeshSettings;
 use crate::RolloutOrder;
-use crate::RolloutProposal;
 use crate::RolloutTable;
 
+/// Shortest time between two ticks for roll-outs, also if something that is overdue has to wait.
+const MIN_TICK_INTERVAL: Duration = Duration::from_millis(10);
+
 impl MeshCore {
     /// Whether roll-outs are on.
     pub fn has_rollouts(&self) -> bool {
@@ -40,11 +41,6 @@
         self.rollouts.as_ref().map(|rollouts| &rollouts.table)
     }
 
-    /// Takes the next record to write to the store.
-    pub fn take_rollout_proposal(&mut self) -> Option<RolloutProposal> {
-        self.rollouts.as_mut()?.proposals.take_next()
-    }
-
     /// Applies all orders and records that the store has in an era.
     pub fn on_rollout_content(
         &mut self,
@@ -184,8 +180,10 @@
         if let Some(controller) = rollouts.controller_mut() {
             controller.on_tick(now);
         }
+        if rollouts.target_change.is_some_and(|change| change <= now) {
+            self.update_rollout_targets(now);
+        }
         self.propose_watcher_writes(now);
-        self.update_rollout_targets(now);
         self.process_rollout_actions();
         self.update_rollout_gate(now);
     }
@@ -198,57 +196,29 @@
         let known = rollouts.table.rollouts();
         let times = known.flat_map(|known| {
             let write = position
-                .and_then(|position| rollouts.proposals.watcher_write_time(known, position, now));
+                .and_then(|position| rollouts.proposals.watcher_write_time(known, position));
             [write, next_change(known, now)]
         });
-        times.flatten().chain(controller_wake).min()
+        let earliest = times.flatten().chain(controller_wake).min()?;
+        Some(earliest.max(now + MIN_TICK_INTERVAL))
     }
 
-    /// Proposes the records that this node has to write as a watcher.
-    fn propose_watcher_writes(&mut self, now: Instant) {
-        let Some(position) = self.rollout_writer_position() else {
-            return;
-        };
-        let Some(rollouts) = &self.rollouts else {
-            return;
-        };
-        let due = rollouts.table.rollouts().filter(|known| {
-            let time = rollouts.proposals.watcher_write_time(known, position, now);
-            time.is_some_and(|time| time <= now)
-        });
-        let proposals: Vec<RolloutProposal> = due
-            .map(|known| {
-                let is_everywhere = self.has_only_version(&known.record);
-                let era = self.store_era;
-                watcher_proposal(known, &self.settings.name, era, is_everywhere)
-            })
-            .collect();
-        for proposal in proposals {
-            log_proposal(&proposal);
-            if let Some(rollouts) = &mut self.rollouts {
-                rollouts.proposals.push_watcher_write(proposal, now);
-            }
-            self.actions.push(MeshAction::RolloutProposed);
+    /// Appends the stage of each known roll-out to a metrics page; adds nothing where roll-outs are off.
+    pub(crate) fn write_rollout_metrics(&self, page: &mut String) -> std::fmt::Result {
+        let known = self
+            .rollout_table()
+            .into_iter()
+            .flat_map(RolloutTable::rollouts);
+        for record in known.map(|known| &known.record) {
+            writeln!(
+                page,
+                "sequoiagw_rollout_stage{{service=\"{}\",new_version=\"{}\",stage=\"{}\"}} 1",
+                record.service,
+                record.new_version,
+                stage_name(record)
+            )?;
         }
-    }
-
-    /// Position of this node among the watchers of all data centres, which write records in turn;
-    /// `None` if it is no watcher.
-    fn rollout_writer_position(&self) -> Option<usize> {
-        let centres = self.directory.data_centres().into_iter();
-        let watchers = centres.flat_map(|centre| self.watchers_in(&centre));
-        watchers.into_iter().position(|node| node == self.node)
-    }
-
-    /// Whether all targets of a service, at least one, have the new version of a record.
-    fn has_only_version(&self, record: &RolloutRecord) -> bool {
-        let mut targets = self
-            .directory
-            .registered_for(&record.service)
-            .filter(|(_, registration)| registration.slots > 0)
-            .peekable();
-        targets.peek().is_some()
-            && targets.all(|(_, registration)| registration.backend_version == record.new_version)
+        Ok(())
     }
 
     /// Sends the record of a service to all other nodes.
@@ -290,8 +260,22 @@
             era = record.store_era
         );
         self.counters.count("rollout.records");
-        let own_objection = record.objections.last();
-        if let Some(objection) = own_objection.filter(|_| record.driver.is_empty()) {
+        self.record_objections(record);
+    }
+
+    /// Logs and counts the objections of a record that are new here.
+    fn record_objections(&mut self, record: &RolloutRecord) {
+        let Some(rollouts) = &mut self.rollouts else {
+            return;
+        };
+        let recorded = rollouts
+            .recorded_objections
+            .entry(record.service.clone())
+            .or_default();
+        if recorded.0 != record.order_revision {
+            *recorded = (record.order_revision, 0);
+        }
+        for objection in record.objections.iter().skip(recorded.1) {
             warn!(
                 event = "rollout_objection",
                 service = %record.service,
@@ -301,6 +285,7 @@
             );
             self.counters.count("rollout.objections");
         }
+        recorded.1 = record.objections.len();
     }
 }
 
@@ -314,20 +299,6 @@
     }
 }
 
-/// Logs a record that this node proposes.
-pub(crate) fn log_proposal(proposal: &RolloutProposal) {
-    let record = &proposal.record;
-    info!(
-        event = "rollout_proposed",
-        service = %record.service,
-        new_version = %record.new_version,
-        stage = stage_name(record),
-        driver = %record.driver,
-        objections = record.objections.len(),
-        expected_revision = proposal.expected_revision
-    );
-}
-
 impl NodeRollouts {
     /// Part of a node for which roll-outs are on, `None` otherwise.
     pub(crate) fn for_settings(settings: &MeshSettings) -> Option<Self> {
--- a/crates/sequoiagw-mesh/src/core_watchers.rs
+++ b/crates/sequoiagw-mesh/src/core_watchers.rs
@@ -55,6 +55,7 @@
 
     /// Notifies the registrar when this node becomes a watcher or no longer is one.
     pub(crate) fn update_role(&mut self, now: Instant) {
+        self.update_rollouts_on_registrations(now);
         let is_watcher = self.is_watcher();
         if is_watcher != std::mem::replace(&mut self.was_watcher, is_watcher) {
             info!(event = "watcher_role_changed", is_watcher);
--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -4,6 +4,7 @@
 //! [`MeshCore`] is the state machine of the node and does no I/O; [`MeshHandle`] runs it on the
 //! current thread's runtime. Names and formats of the platform are behind [`PlatformFormat`].
 
+mod backend_runs;
 mod call_log;
 mod caller_server;
 mod connection_acceptor;
@@ -13,6 +14,7 @@
 mod core_directory;
 mod core_frames;
 mod core_rollout_calls;
+mod core_rollout_writes;
 mod core_rollouts;
 mod core_target;
 mod core_versions;
@@ -52,6 +54,7 @@
 mod version_records;
 mod watcher_monitor;
 
+pub use backend_runs::BackendRuns;
 pub use caller_server::CallerServer;
 pub use departure_holders::DepartureHolders;
 pub use departure_holders::DepartureState;
--- a/crates/sequoiagw-mesh/src/local_server.rs
+++ b/crates/sequoiagw-mesh/src/local_server.rs
@@ -92,7 +92,8 @@
         }
     }
 
-    /// Counters, latencies, and the time for which each request has been held back.
+    /// Counters, latencies, the time for which each request has been held back, and the stages of
+    /// roll-outs.
     fn metrics_page(&self) -> String {
         let mut page = self.handle.counters().metrics_text();
         let _ = writeln!(
@@ -109,6 +110,9 @@
                 held.held_for.as_secs()
             );
         }
+        let _ = self
+            .handle
+            .read(|core| core.write_rollout_metrics(&mut page));
         page
     }
 
--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -27,6 +27,7 @@
 use tokio::time::Instant;
 use tracing::info;
 
+use crate::BackendRuns;
 use crate::HeaderNames;
 
 /// Longest time to connect to a process on the same machine.
@@ -64,27 +65,8 @@
     budget: BufferBudget,
 }
 
-impl MeshBackend {
-    /// Builds a client that reports the result of each run to `events`.
-    pub fn new(address: SocketAddr, header_names: HeaderNames, events: EventSender) -> Self {
-        Self {
-            address,
-            header_names,
-            state: Rc::default(),
-            events,
-            budget: BufferBudget::unlimited(),
-        }
-    }
-
-    /// Sets what the bodies of responses may use of the process's memory.
-    #[must_use]
-    pub fn with_budget(mut self, budget: BufferBudget) -> Self {
-        self.budget = budget;
-        self
-    }
-
-    /// Starts a run at the backend process named `instance`; its result is sent as an event.
-    pub fn run(&self, request: RunRequest, instance: String) {
+impl BackendRuns for MeshBackend {
+    fn run(&self, request: RunRequest, instance: String) {
         let client = self.clone();
         let run = request.run;
         let task = tokio::task::spawn_local(async move {
@@ -97,15 +79,34 @@
             .insert(run, task.abort_handle());
     }
 
-    /// Aborts a run by closing its connection and reports it as aborted. Does nothing if the run
-    /// has ended.
-    pub fn abort(&self, run: RunId) {
+    /// Closes the run's connection and reports the run as aborted.
+    fn abort(&self, run: RunId) {
         let task = self.state.borrow_mut().runs.remove(&run);
         if let Some(task) = task {
             task.abort();
             self.finish(run, BackendResult::Aborted);
         }
     }
+}
+
+impl MeshBackend {
+    /// Builds a client that reports the result of each run to `events`.
+    pub fn new(address: SocketAddr, header_names: HeaderNames, events: EventSender) -> Self {
+        Self {
+            address,
+            header_names,
+            state: Rc::default(),
+            events,
+            budget: BufferBudget::unlimited(),
+        }
+    }
+
+    /// Sets what the bodies of responses may use of the process's memory.
+    #[must_use]
+    pub fn with_budget(mut self, budget: BufferBudget) -> Self {
+        self.budget = budget;
+        self
+    }
 
     fn finish(&self, run: RunId, result: BackendResult) {
         self.state.borrow_mut().runs.remove(&run);
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -17,8 +17,8 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::BackendRuns;
 use crate::MeshAction;
-use crate::MeshBackend;
 use crate::MeshCore;
 use crate::MeshVersion;
 use crate::PlatformFormat;
@@ -29,7 +29,7 @@
 struct MeshInner {
     core: MeshCore,
     links: Box<dyn PeerLinks>,
-    backend: MeshBackend,
+    backend: Box<dyn BackendRuns>,
     replies: ReplyTable,
 }
 
@@ -56,7 +56,7 @@
     pub fn new(
         core: MeshCore,
         links: Box<dyn PeerLinks>,
-        backend: MeshBackend,
+        backend: Box<dyn BackendRuns>,
         format: Rc<dyn PlatformFormat>,
     ) -> Self {
         let inner = MeshInner {
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -102,7 +102,12 @@
     );
     let grace = settings.grace_period;
     let core = MeshCore::new(settings, boot, NodeCounters::default());
-    let handle = MeshHandle::new(core, Box::new(links.clone()), backend, dependencies.format);
+    let handle = MeshHandle::new(
+        core,
+        Box::new(links.clone()),
+        Box::new(backend),
+        dependencies.format,
+    );
     let (phase, phase_receiver) = watch::channel(ServerPhase::Open);
     let caller_server = CallerServer::new(handle.clone(), phase_receiver.clone(), budget.clone());
     let local_server = LocalServer::new(handle.clone(), phase_receiver, budget);
--- a/crates/sequoiagw-mesh/src/node_rollouts.rs
+++ b/crates/sequoiagw-mesh/src/node_rollouts.rs
@@ -1,7 +1,9 @@
 //! A node's state for roll-outs.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::time::Duration;
 
 use sequoiagw_policy::RolloutController;
 use sequoiagw_policy::RolloutSettings;
@@ -13,6 +15,9 @@
 use crate::rollout_proposal::ProposalQueue;
 use crate::RolloutTable;
 
+/// Difference in the age of an order that doesn't matter to its times.
+const ORDER_AGE_TOLERANCE: Duration = Duration::from_millis(200);
+
 /// A run at the backend server that hasn't ended.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct OpenRun {
@@ -25,6 +30,9 @@
 struct OwnController {
     order_revision: u64,
     store_era: u64,
+    /// Age of the order when the controller was created.
+    order_age: Duration,
+    created_at: Instant,
     controller: RolloutController,
 }
 
@@ -38,6 +46,15 @@
     pub(crate) proposals: ProposalQueue,
     /// Services with a target that gets a share of the calls.
     pub(crate) canary_services: BTreeSet<String>,
+    /// Position among the watchers of all data centres, which write records in turn; `None` if this
+    /// node is no watcher.
+    pub(crate) writer_position: Option<usize>,
+    /// Whether this node has read the registrations from the store.
+    pub(crate) registrations_read: bool,
+    /// Next time at which other targets may be used without a new record.
+    pub(crate) target_change: Option<Instant>,
+    /// Order of each service's roll-out, and number of its objections that have been logged.
+    pub(crate) recorded_objections: BTreeMap<String, (u64, usize)>,
     own: Option<OwnController>,
 }
 
@@ -50,6 +67,10 @@
             open_runs: HashMap::new(),
             proposals: ProposalQueue::default(),
             canary_services: BTreeSet::new(),
+            writer_position: None,
+            registrations_read: false,
+            target_change: None,
+            recorded_objections: BTreeMap::new(),
             own: None,
         }
     }
@@ -81,7 +102,12 @@
         };
         let record = &known.record;
         match &mut self.own {
-            Some(own) if own.is_for(record) => own.controller.on_record(record, now),
+            Some(own)
+                if own.is_for(record)
+                    && (record.driver == node || !own.is_older(known.order_age(now), now)) =>
+            {
+                own.controller.on_record(record, now);
+            }
             _ if known.is_final() => self.own = None,
             _ => {
                 let age = known.order_age(now);
@@ -90,6 +116,8 @@
                 self.own = Some(OwnController {
                     order_revision: record.order_revision,
                     store_era: record.store_era,
+                    order_age: age,
+                    created_at: now,
                     controller,
                 });
             }
@@ -103,4 +131,10 @@
     fn is_for(&self, record: &RolloutRecord) -> bool {
         self.order_revision == record.order_revision && self.store_era <= record.store_era
     }
+
+    /// Whether a peer has told since that the order is older than this node knew.
+    fn is_older(&self, order_age: Duration, now: Instant) -> bool {
+        let known_age = self.order_age + now.saturating_duration_since(self.created_at);
+        order_age > known_age + ORDER_AGE_TOLERANCE
+    }
 }
--- a/crates/sequoiagw-mesh/src/rollout_proposal.rs
+++ b/crates/sequoiagw-mesh/src/rollout_proposal.rs
@@ -57,13 +57,11 @@
         &self,
         known: &KnownRollout,
         position: usize,
-        now: Instant,
     ) -> Option<Instant> {
         let due = match known.unwritten_since() {
             Some(since) => since,
             None if known.record.stage() == RolloutStage::Canary => {
-                let rollback_age = known.duration().mul_f64(WATCHER_ROLLBACK_FRACTION);
-                now + rollback_age.saturating_sub(known.order_age(now))
+                known.time_at_age(known.duration().mul_f64(WATCHER_ROLLBACK_FRACTION))
             }
             None => return None,
         };
@@ -74,11 +72,9 @@
         }))
     }
 
-    /// Adds the record that a watcher has to write for a roll-out.
-    pub(crate) fn push_watcher_write(&mut self, proposal: RolloutProposal, now: Instant) {
-        let service = proposal.record.service.clone();
-        self.last_watcher_writes.insert(service, now);
-        self.push(proposal);
+    /// Records that this node proposes a write as a watcher.
+    pub(crate) fn record_watcher_write(&mut self, service: &str, now: Instant) {
+        self.last_watcher_writes.insert(service.to_owned(), now);
     }
 }
 
--- a/crates/sequoiagw-mesh/src/rollout_table.rs
+++ b/crates/sequoiagw-mesh/src/rollout_table.rs
@@ -94,6 +94,11 @@
         self.initial_age + now.saturating_duration_since(self.order_known_since)
     }
 
+    /// Time at which the order has an age, as far as this node knows; not before it learned of the order.
+    pub fn time_at_age(&self, age: Duration) -> Instant {
+        self.order_known_since + age.saturating_sub(self.initial_age)
+    }
+
     /// Time that the operators allow from the order to the end.
     pub fn duration(&self) -> Duration {
         Duration::from_millis(self.record.duration_ms)
@@ -145,6 +150,11 @@
         self.complete = true;
     }
 
+    /// Era of the store in which this node last read all orders and records, `None` before that.
+    pub fn read_era(&self) -> Option<StoreEra> {
+        self.read_era
+    }
+
     /// Roll-out of a service.
     pub fn rollout(&self, service: &str) -> Option<&KnownRollout> {
         self.rollouts.get(service)
--- a/crates/sequoiagw-mesh/tests/fleet/direct_links.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/direct_links.rs
@@ -17,6 +17,10 @@
 pub struct DirectLinks {
     /// Event loops of all nodes.
     receivers: Rc<RefCell<Vec<(NodeAddress, EventSender)>>>,
+    /// Nodes that frames from and to the others don't reach.
+    cut_off: Rc<RefCell<Vec<NodeAddress>>>,
+    /// Address of this node.
+    own_address: Rc<Cell<Option<NodeAddress>>>,
     /// Whether this node's frames are lost.
     silent: Rc<Cell<bool>>,
     /// Time that the nodes are behind in handling what they receive.
@@ -36,6 +40,8 @@
     pub fn for_another_node(&self) -> Self {
         Self {
             receivers: Rc::clone(&self.receivers),
+            cut_off: Rc::clone(&self.cut_off),
+            own_address: Rc::default(),
             silent: Rc::default(),
             backlog: self.backlog,
         }
@@ -43,6 +49,7 @@
 
     /// Adds a node's event loop, in place of an earlier one at its address.
     pub fn add_receiver(&self, address: NodeAddress, events: EventSender) {
+        self.own_address.set(Some(address));
         let mut receivers = self.receivers.borrow_mut();
         receivers.retain(|(existing, _)| *existing != address);
         receivers.push((address, events));
@@ -53,6 +60,17 @@
         self.silent.set(silent);
     }
 
+    /// Cuts nodes off from all others, but not from each other; an empty list ends that.
+    pub fn cut_off(&self, nodes: Vec<NodeAddress>) {
+        *self.cut_off.borrow_mut() = nodes;
+    }
+
+    fn is_cut_off_from(&self, to: NodeAddress) -> bool {
+        let cut_off = self.cut_off.borrow();
+        let own_address = self.own_address.get();
+        own_address.is_some_and(|own| cut_off.contains(&own) != cut_off.contains(&to))
+    }
+
     /// Lets the other nodes notice that the process of the node at `address` has ended.
     pub fn report_end(&self, address: NodeAddress) {
         for (_, events) in self.receivers.borrow().iter() {
@@ -73,7 +91,7 @@
 
 impl PeerLinks for DirectLinks {
     fn send(&self, to: NodeAddress, frame: PeerFrame) {
-        if self.silent.get() {
+        if self.silent.get() || self.is_cut_off_from(to) {
             return;
         }
         for (address, events) in self.receivers.borrow().iter() {
--- a/crates/sequoiagw-mesh/tests/fleet/fleet_node.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/fleet_node.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use sequoiagw_mesh::BackendRuns;
 use sequoiagw_mesh::MeshBackend;
 use sequoiagw_mesh::MeshCore;
 use sequoiagw_mesh::MeshHandle;
@@ -11,6 +12,7 @@
 use sequoiagw_mesh::StoreFollower;
 use sequoiagw_mesh::StoreHealth;
 use sequoiagw_mesh::NODES_PREFIX;
+use sequoiagw_node::EventSender;
 use sequoiagw_node::NodeCounters;
 use sequoiagw_protocol::NodeAddress;
 use sequoiagw_store::PollingStore;
@@ -40,11 +42,29 @@
 impl FleetNode {
     /// Starts a node with all its tasks.
     pub fn start(settings: MeshSettings, boot: u64, store: NodeStore, links: DirectLinks) -> Self {
-        let address = node_address(&settings.name);
+        let unused_address: SocketAddr = "127.0.0.1:9".parse().expect("an address");
+        let connect = |events| -> Box<dyn BackendRuns> {
+            Box::new(MeshBackend::new(unused_address, HEADERS, events))
+        };
+        Self::start_beside(settings, boot, store, links, connect)
+    }
+
+    /// Starts a node with all its tasks beside the backend server that `connect` returns for the
+    /// node's event loop.
+    pub fn start_beside<Connect>(
+        settings: MeshSettings,
+        boot: u64,
+        store: NodeStore,
+        links: DirectLinks,
+        connect: Connect,
+    ) -> Self
+    where
+        Connect: FnOnce(EventSender) -> Box<dyn BackendRuns>,
+    {
+        let address = NodeAddress::from(settings.peer_address);
         let (events, receiver) = mpsc::unbounded_channel();
         links.add_receiver(address, events.clone());
-        let unused_address: SocketAddr = "127.0.0.1:9".parse().expect("an address");
-        let backend = MeshBackend::new(unused_address, HEADERS, events);
+        let backend = connect(events);
         let core = MeshCore::new(settings, boot, NodeCounters::default());
         let core_links = Box::new(links.clone());
         let handle = MeshHandle::new(core, core_links, backend, Rc::new(NumberFormat));
--- a/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
@@ -234,6 +234,11 @@
         content.entries.get(key).map(|entry| entry.value.clone())
     }
 
+    /// Entry of a key, `None` if it doesn't exist.
+    pub fn entry(&self, key: &str) -> Option<KeyEntry> {
+        self.content.borrow().entries.get(key).cloned()
+    }
+
     /// Revision of the last change.
     pub fn revision(&self) -> u64 {
         self.content.borrow().revision
@@ -327,6 +332,8 @@
     store: FleetStore,
     /// Whether the store answers nothing that this node sends.
     cut: Rc<Cell<bool>>,
+    /// Whether the answers to this node's writes are lost.
+    loses_answers: Rc<Cell<bool>>,
 }
 
 impl NodeStore {
@@ -335,6 +342,7 @@
         Self {
             store: store.clone(),
             cut: Rc::default(),
+            loses_answers: Rc::default(),
         }
     }
 
@@ -343,6 +351,11 @@
         self.cut.set(cut);
     }
 
+    /// Loses the answers to writes, which the store applies, or ends that.
+    pub fn set_loses_answers(&self, loses_answers: bool) {
+        self.loses_answers.set(loses_answers);
+    }
+
     async fn wait_if_cut(&self) -> Result<(), StoreError> {
         if self.cut.get() {
             sleep(CALL_TIMEOUT).await;
@@ -367,6 +380,10 @@
             if changes_content {
                 access.store.changed.send_replace(());
             }
+            if changes_content && access.loses_answers.get() {
+                sleep(CALL_TIMEOUT).await;
+                return Err(no_answer());
+            }
             sleep(CALL_TIME / 2).await;
             Ok(answered)
         })
--- a/crates/sequoiagw-mesh/tests/fleet/main.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/main.rs
@@ -9,5 +9,9 @@
 #[path = "../number_format/mod.rs"]
 mod number_format;
 mod restored_store;
+mod rollout_backend;
+mod rollout_faults;
+mod rollout_fleet;
+mod rollouts;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/sequoiagw-mesh/tests/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_backend.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sequoiagw_mesh::BackendRuns;
 use sequoiagw_mesh::HeaderNames;
 use sequoiagw_mesh::MeshBackend;
 use sequoiagw_node::CoreEvent;
--- a/crates/sequoiagw-mesh/tests/store_follower.rs
+++ b/crates/sequoiagw-mesh/tests/store_follower.rs
@@ -163,7 +163,12 @@
     let unused_address: SocketAddr = "127.0.0.1:9".parse().expect("an address");
     let backend = MeshBackend::new(unused_address, HEADERS, events);
     let core = MeshCore::new(settings(name), BOOT, NodeCounters::default());
-    let handle = MeshHandle::new(core, Box::new(NoLinks), backend, Rc::new(NumberFormat));
+    let handle = MeshHandle::new(
+        core,
+        Box::new(NoLinks),
+        Box::new(backend),
+        Rc::new(NumberFormat),
+    );
     let health = StoreHealth::new(NodeCounters::default());
     let follower = StoreFollower::new(handle.clone(), Rc::new(store.clone()), health);
     tokio::task::spawn_local(follower.clone().follow_config());
