--- a/crates/sequoiagw-policy/src/target_balancer.rs
+++ b/crates/sequoiagw-policy/src/target_balancer.rs
@@ -52,7 +52,12 @@
 
     /// Replaces the targets of all services.
     pub fn set_targets(&mut self, services: BTreeMap<String, Vec<TargetInfo>>) {
-        let present = |node: &NodeId| services.values().flatten().any(|info| info.node == *node);
+        let canaries = &self.canaries;
+        let present = |node: &NodeId| {
+            let listed = services.values().flatten();
+            let canaries = canaries.values().map(|canary| &canary.target);
+            listed.chain(canaries).any(|info| info.node == *node)
+        };
         self.views
             .retain(|node, view| view.in_flight > 0 || present(node));
         self.run_times.retain_targets(|node| present(&node));
@@ -74,10 +79,16 @@
         self.services.get(service).map_or(&[], Vec::as_slice)
     }
 
+    /// Targets of all services, and their canaries.
+    fn all_targets(&self) -> impl Iterator<Item = &TargetInfo> {
+        let canaries = self.canaries.values().map(|canary| &canary.target);
+        self.services.values().flatten().chain(canaries)
+    }
+
     /// Boot of a node that offers a service, `None` if it offers none.
     pub fn boot(&self, node: NodeId) -> Option<u64> {
-        let mut all = self.services.values().flatten();
-        all.find(|info| info.node == node).map(|info| info.boot)
+        let info = self.all_targets().find(|info| info.node == node);
+        info.map(|info| info.boot)
     }
 
     /// Record for the logs of why a target was chosen.
@@ -97,23 +108,20 @@
 
     /// Whether a node offers any service.
     pub fn is_target(&self, node: NodeId) -> bool {
-        self.services
-            .values()
-            .flatten()
-            .any(|info| info.node == node)
+        self.all_targets().any(|info| info.node == node)
     }
 
     /// Other nodes in the data centre of `node`, empty if that is the local data centre.
     pub fn remote_data_centre_peers(&self, node: NodeId) -> Vec<NodeId> {
-        let all = || self.services.values().flatten();
-        let data_centre = all()
+        let data_centre = self
+            .all_targets()
             .find(|info| info.node == node)
             .map(|info| &info.data_centre);
         let Some(data_centre) = data_centre.filter(|data_centre| **data_centre != self.data_centre)
         else {
             return Vec::new();
         };
-        all()
+        self.all_targets()
             .filter(|info| info.data_centre == *data_centre && info.node != node)
             .map(|info| info.node)
             .collect()
--- a/crates/sequoiagw-policy/src/target_choice.rs
+++ b/crates/sequoiagw-policy/src/target_choice.rs
@@ -23,7 +23,8 @@
 const SAMPLED_REMOTE_TARGETS: usize = 2;
 
 impl TargetBalancer {
-    /// Chooses a target. [`PlacementRule::Fastest`] picks the earliest expected answer.
+    /// Chooses a target. A service's canary is chosen for its share of the calls.
+    /// [`PlacementRule::Fastest`] picks the earliest expected answer.
     /// [`PlacementRule::Spill`] picks the less loaded of two random local targets. It picks a
     /// remote one, chosen likewise, if there is no local one or if the remote one is less loaded
     /// by enough to justify use of the link.
@@ -37,6 +38,9 @@
         rng: &mut ChaCha8Rng,
         now: Instant,
     ) -> Result<TargetInfo, ErrorKind> {
+        if let Some(canary) = self.pick_canary(request, rng, now) {
+            return Ok(canary.clone());
+        }
         let eligible = self.eligible_targets(request, now);
         if eligible.is_empty() {
             return Err(ErrorKind::TargetMissing);
@@ -76,6 +80,23 @@
         Ok(choice.clone())
     }
 
+    /// Picks the service's canary for its share of the calls, unless it can't take this one.
+    fn pick_canary(
+        &self,
+        request: &PickRequest<'_>,
+        rng: &mut ChaCha8Rng,
+        now: Instant,
+    ) -> Option<&TargetInfo> {
+        let canary = self.canaries.get(request.service)?;
+        let node = canary.target.node;
+        let view = self.views.get(&node);
+        let is_available = !request.excluded.contains(&node)
+            && !view.is_some_and(|view| {
+                view.suspect || view.is_ejected(now) || view.is_queue_full_for(request.level, now)
+            });
+        (is_available && rng.random_bool(canary.share.clamp(0.0, 1.0))).then_some(&canary.target)
+    }
+
     /// Picks the target that is expected to answer first, among a random sample of those without a
     /// recent report of a full queue. Jitter decides between nearly equal targets. The best local
     /// target is preferred if its answer is expected within `acceptable_local_latency`.
--- a/crates/sequoiagw-protocol/src/rollout_message.rs
+++ b/crates/sequoiagw-protocol/src/rollout_message.rs
@@ -69,6 +69,10 @@
     /// with an exposure cap of its own, so their number bounds the sum.
     #[prost(uint32, tag = "11")]
     pub driver_claims: u32,
+    /// Failed runs of the old version in 1,000, as the driver saw them before the shifting stage.
+    /// The other nodes of the new version have no other baseline.
+    #[prost(uint32, tag = "12")]
+    pub old_failures_per_mille: u32,
 }
 
 /// A record with the age of its order at the time of sending. Hosts' clocks differ, so the age is
@@ -115,8 +119,8 @@
     /// Number of runs that failed.
     #[prost(uint32, tag = "2")]
     pub failed: u32,
-    /// Number of runs by run time, in buckets of equal ratio; empty buckets at the end are left
-    /// out.
+    /// Number of runs that did not fail by run time, in buckets of equal ratio; empty buckets at
+    /// the end are left out.
     #[prost(uint32, repeated, tag = "3")]
     pub run_times: Vec<u32>,
 }
