--- a/crates/sequoiagw-policy/src/rollout_controller.rs
+++ b/crates/sequoiagw-policy/src/rollout_controller.rs
@@ -109,7 +109,7 @@
     /// Sets the registered nodes of the service.
     pub fn set_members(&mut self, members: RolloutMembers, now: Instant) {
         self.note_event(now);
-        self.members = members;
+        self.members = members.sorted();
         self.act(now);
     }
 
--- a/crates/sequoiagw-policy/src/rollout_driver.rs
+++ b/crates/sequoiagw-policy/src/rollout_driver.rs
@@ -99,6 +99,7 @@
         record: &RolloutRecord,
         members: &RolloutMembers,
     ) -> Option<Instant> {
+        let vacant_since = self.vacant_since?;
         let has_claims_left =
             record.stage() != RolloutStage::Canary || record.driver_claims < MAX_DRIVER_CLAIMS;
         if self.tenure.is_some() || has_objected(record, node) || !has_claims_left {
@@ -113,7 +114,7 @@
             DRIVER_MISSING_TIME
         };
         let rank = members.rank(node, record)?;
-        Some(self.vacant_since? + missing_time + CLAIM_STAGGER * rank)
+        Some(vacant_since + missing_time + CLAIM_STAGGER * rank)
     }
 
     /// Notes that the node has proposed itself as the driver.
--- a/crates/sequoiagw-policy/src/rollout_members.rs
+++ b/crates/sequoiagw-policy/src/rollout_members.rs
@@ -27,9 +27,18 @@
 }
 
 impl RolloutMembers {
+    /// The same members with those of the new version in the order of their names.
+    pub(crate) fn sorted(mut self) -> Self {
+        self.new.sort_by(|one, other| one.name.cmp(&other.name));
+        self
+    }
+
     /// Whether a node of the new version is registered under this name.
     pub(crate) fn has_new(&self, name: &str) -> bool {
-        self.new.iter().any(|member| member.name == name)
+        let position = self
+            .new
+            .binary_search_by(|member| member.name.as_str().cmp(name));
+        position.is_ok()
     }
 
     /// Whether a node is one of an old version.
