--- a/crates/sequoiagw-mesh/src/stored_rollout.rs
+++ b/crates/sequoiagw-mesh/src/stored_rollout.rs
@@ -74,6 +74,8 @@
     writer: String,
     #[serde(default)]
     driver_claims: u32,
+    #[serde(default)]
+    old_failures_per_mille: u32,
 }
 
 impl From<&RolloutRecord> for StoredRollout {
@@ -92,6 +94,7 @@
             objections: objections.collect(),
             writer: record.writer.clone(),
             driver_claims: record.driver_claims,
+            old_failures_per_mille: record.old_failures_per_mille,
         }
     }
 }
@@ -126,6 +129,7 @@
             objections: objections.collect(),
             writer: self.writer,
             driver_claims: self.driver_claims,
+            old_failures_per_mille: self.old_failures_per_mille,
             revision,
             store_era: era.0,
         }
