--- a/crates/sequoiagw-mesh/src/core_rollout_calls.rs
+++ b/crates/sequoiagw-mesh/src/core_rollout_calls.rs
@@ -142,10 +142,17 @@
             return;
         };
         let table = &rollouts.table;
+        let settled: BTreeSet<String> = table
+            .rollouts()
+            .filter(|known| rollouts.is_settled(known, &self.directory))
+            .map(|known| known.record.service.clone())
+            .collect();
         let changes = table.rollouts().filter_map(|known| next_change(known, now));
         rollouts.target_change = changes.min();
         let targets = self.directory.targets_where(|registration| {
-            let known = table.rollout(&registration.service);
+            let known = table
+                .rollout(&registration.service)
+                .filter(|_| !settled.contains(&registration.service));
             is_usable(known, &registration.backend_version, now)
         });
         let mut services = BTreeSet::new();
@@ -183,13 +190,14 @@
         };
         let service = &self.settings.backend.service;
         let version = self.target.version();
-        let state = gate_state(
-            &rollouts.table,
-            service,
-            version,
-            rollouts.controller(),
-            now,
-        );
+        let table = &rollouts.table;
+        let known = table.rollout(service);
+        let is_settled = known.is_some_and(|known| rollouts.is_settled(known, &self.directory));
+        let state = if table.is_complete() && is_settled {
+            GateState::Open
+        } else {
+            gate_state(table, service, version, rollouts.controller(), now)
+        };
         self.calls
             .owner
             .set_version_held(state == GateState::Closed);
--- a/crates/sequoiagw-mesh/src/core_rollout_writes.rs
+++ b/crates/sequoiagw-mesh/src/core_rollout_writes.rs
@@ -1,10 +1,10 @@
 //! Records of roll-outs that this node proposes to write to the store.
 
-use sequoiagw_protocol::RolloutRecord;
 use tokio::time::Instant;
 use tracing::info;
 
 use crate::core_rollouts::stage_name;
+use crate::node_rollouts::has_only_version;
 use crate::rollout_proposal::watcher_proposal;
 use crate::MeshAction;
 use crate::MeshCore;
@@ -49,7 +49,7 @@
         });
         let proposals: Vec<RolloutProposal> = due
             .map(|known| {
-                let is_everywhere = self.has_only_version(&known.record);
+                let is_everywhere = has_only_version(&self.directory, &known.record);
                 watcher_proposal(known, &self.settings.name, era, is_everywhere)
             })
             .collect();
@@ -72,20 +72,6 @@
             rollouts.writer_position = position.filter(|_| rollouts.registrations_read);
         }
     }
-
-    /// Whether all targets of a service, at least one, have the new version of a record. Nodes whose
-    /// registrations lapsed a short time ago count, since all may lapse in an outage of the store.
-    fn has_only_version(&self, record: &RolloutRecord) -> bool {
-        let is_new = |version: &str| version == record.new_version;
-        let targets_where = |selects_new: bool| {
-            let mut services = self.directory.targets_where(|registration| {
-                registration.service == record.service
-                    && is_new(&registration.backend_version) == selects_new
-            });
-            services.remove(&record.service).unwrap_or_default()
-        };
-        !targets_where(true).is_empty() && targets_where(false).is_empty()
-    }
 }
 
 /// Logs a record that this node proposes.
--- a/crates/sequoiagw-mesh/src/follower_rollouts.rs
+++ b/crates/sequoiagw-mesh/src/follower_rollouts.rs
@@ -124,7 +124,7 @@
         if record.store_era != era.0 || self.health.era() != era {
             return;
         }
-        match self.client.call(self.commit_request(proposal)).await {
+        match self.client.call(self.commit_request(&proposal)).await {
             Ok(EraAnswer {
                 era: written_era,
                 answer:
@@ -149,7 +149,7 @@
         }
     }
 
-    fn commit_request(&self, proposal: RolloutProposal) -> StoreRequest {
+    fn commit_request(&self, proposal: &RolloutProposal) -> StoreRequest {
         let key = format!("{ROLLOUTS_PREFIX}{}", proposal.record.service);
         let condition = match proposal.expected_revision {
             0 => KeyCondition::Absent(key.clone()),
--- a/crates/sequoiagw-mesh/src/node_rollouts.rs
+++ b/crates/sequoiagw-mesh/src/node_rollouts.rs
@@ -13,6 +13,8 @@
 use tokio::time::Instant;
 
 use crate::rollout_proposal::ProposalQueue;
+use crate::FleetDirectory;
+use crate::KnownRollout;
 use crate::RolloutTable;
 
 /// Difference in the age of an order that doesn't matter to its times.
@@ -75,6 +77,13 @@
         }
     }
 
+    /// Whether an order asks for what is already there, and no record says so yet.
+    pub(crate) fn is_settled(&self, known: &KnownRollout, directory: &FleetDirectory) -> bool {
+        self.registrations_read
+            && !known.is_recorded()
+            && has_only_version(directory, &known.record)
+    }
+
     /// This node's part in the roll-out of its service, if it has one.
     pub(crate) fn controller(&self) -> Option<&RolloutController> {
         self.own.as_ref().map(|own| &own.controller)
@@ -138,3 +147,16 @@
         order_age > known_age + ORDER_AGE_TOLERANCE
     }
 }
+
+/// Whether all targets of a service, at least one, have the new version of a record. Nodes whose
+/// registrations lapsed a short time ago count, since all may lapse in an outage of the store.
+pub(crate) fn has_only_version(directory: &FleetDirectory, record: &RolloutRecord) -> bool {
+    let has_target = |is_new: bool| {
+        let targets = directory.targets_where(|registration| {
+            registration.service == record.service
+                && (registration.backend_version == record.new_version) == is_new
+        });
+        !targets.is_empty()
+    };
+    has_target(true) && !has_target(false)
+}
--- a/crates/sequoiagw-mesh/tests/fleet/rollout_backend.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/rollout_backend.rs
@@ -115,7 +115,7 @@
 
     fn status(&self) -> u16 {
         match self.quality {
-            Quality::Failing if self.starts.borrow().len().is_multiple_of(2) => 500,
+            Quality::Failing if self.starts.borrow().len() % 2 == 0 => 500,
             Quality::Good | Quality::Failing => 200,
         }
     }
--- a/crates/sequoiagw-soak/src/soak_fleet.rs
+++ b/crates/sequoiagw-soak/src/soak_fleet.rs
@@ -136,6 +136,7 @@
         ready: addresses.next_address(),
         heartbeats: addresses.next_address(),
         memory_mb: None,
+        contracts: Vec::new(),
     };
     let program = options.program.clone();
     let mut process = NodeProcess::new(program, folder, &node_addresses, peer_listen)?;
--- a/tests/platform_processes/fleet.rs
+++ b/tests/platform_processes/fleet.rs
@@ -138,6 +138,7 @@
         ready,
         heartbeats,
         memory_mb: None,
+        contracts: Vec::new(),
     };
     let program = PathBuf::from(env!("CARGO_BIN_EXE_sequoiagw"));
     let mut process = NodeProcess::new(program, folder, &addresses, peer).expect("settings");
