--- a/crates/sequoiagw-mesh/src/core_rollout_calls.rs
+++ b/crates/sequoiagw-mesh/src/core_rollout_calls.rs
@@ -20,7 +20,6 @@
 use sequoiagw_protocol::RunStatsRequest;
 use tokio::time::Instant;
 
-use crate::node_rollouts::NodeRollouts;
 use crate::node_rollouts::OpenRun;
 use crate::rollout_gate::gate_state;
 use crate::rollout_gate::is_usable;
@@ -112,7 +111,7 @@
     /// Carries out what this node's part in a roll-out requests.
     pub(crate) fn process_rollout_actions(&mut self) {
         let rollouts = self.rollouts.as_mut();
-        let controller = rollouts.and_then(NodeRollouts::controller_mut);
+        let controller = rollouts.and_then(|rollouts| rollouts.controller_mut());
         let Some(controller) = controller else {
             return;
         };
--- a/crates/sequoiagw-mesh/src/core_rollouts.rs
+++ b/crates/sequoiagw-mesh/src/core_rollouts.rs
@@ -301,7 +301,7 @@
 
 impl NodeRollouts {
     /// Part of a node for which roll-outs are on, `None` otherwise.
-    pub(crate) fn for_settings(settings: &MeshSettings) -> Option<Self> {
-        settings.rollout.map(Self::new)
+    pub(crate) fn for_settings(settings: &MeshSettings) -> Option<Box<Self>> {
+        settings.rollout.map(|bounds| Box::new(Self::new(bounds)))
     }
 }
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -93,7 +93,7 @@
     /// Latest known era of the store.
     pub(crate) store_era: StoreEra,
     /// `None` where roll-outs are off.
-    pub(crate) rollouts: Option<NodeRollouts>,
+    pub(crate) rollouts: Option<Box<NodeRollouts>>,
     pub(crate) counters: NodeCounters,
     pub(crate) actions: Vec<MeshAction>,
 }
