--- a/crates/sequoiagw-policy/tests/rollout/main.rs
+++ b/crates/sequoiagw-policy/tests/rollout/main.rs
@@ -5,6 +5,8 @@
 mod exposure_bound;
 mod fleet;
 mod judgement;
+mod nodes;
+mod plan;
 mod run_statistics;
 mod transitions;
 mod verdicts;
--- a/crates/sequoiagw-policy/tests/rollout/verdicts.rs
+++ b/crates/sequoiagw-policy/tests/rollout/verdicts.rs
@@ -6,8 +6,8 @@
 
 use crate::backend::Fault;
 use crate::fleet::Fleet;
-use crate::fleet::Outcome;
-use crate::fleet::Plan;
+use crate::plan::Outcome;
+use crate::plan::Plan;
 
 const FLEETS: [u64; 3] = [10, 64, 660];
 const DURATIONS_S: [u64; 2] = [12, 16];
