A driver's time starts only with the record of its own claim

A restarted process took a record that an earlier process had caused for its own, which would have given it a second exposure cap for the same claim.

--- a/crates/sequoiagw-policy/src/rollout_driver.rs
+++ b/crates/sequoiagw-policy/src/rollout_driver.rs
@@ -40,9 +40,9 @@
 #[derive(Clone, Debug, Default)]
 pub(crate) struct DriverRole {
     tenure: Option<DriverTenure>,
-    /// Whether this process has claimed the role. A record that names the node without that was
-    /// written for an earlier process, whose runs nobody knows.
-    claimed: bool,
+    /// Number of the claim that this process has proposed last. A record that names the node with
+    /// another number was written for an earlier process, whose runs nobody knows.
+    claimed: Option<u32>,
     vacant_since: Option<Instant>,
 }
 
@@ -61,10 +61,10 @@
     pub(crate) fn on_record(&mut self, node: &str, record: &RolloutRecord, now: Instant) -> bool {
         if record.driver != node {
             self.tenure = None;
-            self.claimed = false;
+            self.claimed = None;
             return false;
         }
-        if self.tenure.is_some() || !self.claimed {
+        if self.tenure.is_some() || self.claimed != Some(record.driver_claims) {
             return false;
         }
         self.tenure = Some(DriverTenure::new(now));
@@ -118,7 +118,7 @@
     }
 
     /// Notes that the node has proposed itself as the driver.
-    pub(crate) fn on_claim(&mut self) {
-        self.claimed = true;
+    pub(crate) fn on_claim(&mut self, record: &RolloutRecord) {
+        self.claimed = Some(record.driver_claims);
     }
 }
--- a/crates/sequoiagw-policy/src/rollout_proposer.rs
+++ b/crates/sequoiagw-policy/src/rollout_proposer.rs
@@ -75,7 +75,7 @@
             return;
         }
         if record.driver == self.node && self.role.tenure().is_none() {
-            self.role.on_claim();
+            self.role.on_claim(&record);
         }
         self.proposer.last = Some((record.clone(), now));
         self.actions.push(RolloutAction::Propose {
--- a/crates/sequoiagw-policy/tests/rollout/transitions.rs
+++ b/crates/sequoiagw-policy/tests/rollout/transitions.rs
@@ -128,7 +128,11 @@
     let now = Instant::now();
     let mut controller = controller("a", canary("a"), now);
     assert!(!controller.admits(now));
-    let (_, mut record, expected) = proposals(&mut controller, now, 0).remove(0);
+    let mut later = canary("a");
+    later.revision += 1;
+    controller.on_record(&later, now);
+    assert!(!controller.admits(now), "the record is not from this claim");
+    let (_, mut record, expected) = proposals(&mut controller, now, 0).remove(1);
     record.revision = expected + 1;
     controller.on_record(&record, now);
     assert!(controller.admits(now));
