Roll-outs: note the record that a later order's first record replaces

A watcher that learned of a second order before it had the latest record of the first one kept an outdated revision as the condition of its writes. Each write failed, and reading the record afterwards didn't change the revision.

--- a/crates/sequoiagw-mesh/src/rollout_table.rs
+++ b/crates/sequoiagw-mesh/src/rollout_table.rs
@@ -120,6 +120,17 @@
         self.record = record;
     }
 
+    /// Notes the revision of an earlier order's record, which the first record of this order replaces.
+    /// The node may have learned of the order before it read that record.
+    fn note_replaced(&mut self, record: &RolloutRecord) {
+        let is_replaced = !self.is_recorded()
+            && record.store_era == self.record.store_era
+            && record.order_revision < self.record.order_revision;
+        if is_replaced {
+            self.stored_revision = self.stored_revision.max(record.revision);
+        }
+    }
+
     /// Records that the store has the record at `stored_revision` in place of this final one.
     fn set_lost(&mut self, stored_revision: u64, now: Instant) {
         self.stored_revision = stored_revision;
@@ -223,6 +234,7 @@
             known.initial_age += order_age.saturating_sub(known.order_age(now));
         }
         if rank(&record) <= rank(&known.record) {
+            known.note_replaced(&record);
             return false;
         }
         if record.order_revision != known.record.order_revision {
