Roll-outs: tell peers of orders that have no record yet

A starting node takes a peer's table for complete, but the table left out orders whose first record wasn't written. The node's owner then admitted all calls to the new version until it learned of the order.

--- a/crates/sequoiagw-mesh/src/rollout_table.rs
+++ b/crates/sequoiagw-mesh/src/rollout_table.rs
@@ -238,7 +238,8 @@
             return false;
         }
         if record.order_revision != known.record.order_revision {
-            *known = KnownRollout::new(record, order_age, now);
+            let previous = std::mem::replace(known, KnownRollout::new(record, order_age, now));
+            known.note_replaced(&previous.record);
             return true;
         }
         if known.is_final() && record.stage != known.record.stage {
@@ -316,12 +317,12 @@
         })
     }
 
-    /// Message with all records; `requested` asks the receiver for its own.
+    /// Message with all records; `requested` asks the receiver for its own. Orders without a record are
+    /// included: a receiver that takes the table for complete must not admit calls to their versions.
     pub fn message(&self, requested: bool, now: Instant) -> RolloutTableMessage {
-        let recorded = self.rollouts.values().filter(|known| known.is_recorded());
-        let entries = recorded.map(|known| entry(known, now)).collect();
+        let known = self.rollouts.values();
         RolloutTableMessage {
-            entries,
+            entries: known.map(|known| entry(known, now)).collect(),
             requested,
             complete: self.complete,
         }
