Roll-outs: watchers end a shift whose new targets are all gone

If all nodes of the new version ended in the shifting stage, none was left to write a transition. Entries kept using the new version only, so the service had no targets. A watcher now writes the roll-back if only targets of other versions are left.

--- a/crates/sequoiagw-mesh/src/core_rollout_writes.rs
+++ b/crates/sequoiagw-mesh/src/core_rollout_writes.rs
@@ -1,11 +1,15 @@
 //! Records of roll-outs that this node proposes to write to the store.
 
+use sequoiagw_protocol::RolloutStage;
 use tokio::time::Instant;
 use tracing::info;
 
 use crate::core_rollouts::stage_name;
+use crate::node_rollouts::has_only_other_versions;
 use crate::node_rollouts::has_only_version;
 use crate::rollout_proposal::watcher_proposal;
+use crate::FleetDirectory;
+use crate::KnownRollout;
 use crate::MeshAction;
 use crate::MeshCore;
 use crate::RolloutProposal;
@@ -47,12 +51,24 @@
             let time = rollouts.proposals.watcher_write_time(known, position);
             time.is_some_and(|time| time <= now)
         });
+        let (idle, due): (Vec<&KnownRollout>, Vec<&KnownRollout>) =
+            due.partition(|known| is_shift_for_driver(&self.directory, known));
+        let idle: Vec<String> = idle
+            .into_iter()
+            .map(|known| known.record.service.clone())
+            .collect();
         let proposals: Vec<RolloutProposal> = due
+            .into_iter()
             .map(|known| {
                 let is_everywhere = has_only_version(&self.directory, &known.record);
                 watcher_proposal(known, &self.settings.name, era, is_everywhere)
             })
             .collect();
+        if let Some(rollouts) = &mut self.rollouts {
+            for service in idle {
+                rollouts.proposals.record_watcher_write(&service, now);
+            }
+        }
         for proposal in proposals {
             if let Some(rollouts) = &mut self.rollouts {
                 let service = &proposal.record.service;
@@ -74,6 +90,13 @@
     }
 }
 
+/// Whether a roll-out is in the shifting stage, which watchers end only if the service has targets of
+/// other versions alone: no node is left then that could end it.
+fn is_shift_for_driver(directory: &FleetDirectory, known: &KnownRollout) -> bool {
+    let record = &known.record;
+    record.stage() == RolloutStage::Shifting && !has_only_other_versions(directory, record)
+}
+
 /// Logs a record that this node proposes.
 fn log_proposal(proposal: &RolloutProposal) {
     let record = &proposal.record;
--- a/crates/sequoiagw-mesh/src/node_rollouts.rs
+++ b/crates/sequoiagw-mesh/src/node_rollouts.rs
@@ -151,12 +151,18 @@
 /// Whether all targets of a service, at least one, have the new version of a record. Nodes whose
 /// registrations lapsed a short time ago count, since all may lapse in an outage of the store.
 pub(crate) fn has_only_version(directory: &FleetDirectory, record: &RolloutRecord) -> bool {
-    let has_target = |is_new: bool| {
-        let targets = directory.targets_where(|registration| {
-            registration.service == record.service
-                && (registration.backend_version == record.new_version) == is_new
-        });
-        !targets.is_empty()
-    };
-    has_target(true) && !has_target(false)
+    has_target(directory, record, true) && !has_target(directory, record, false)
+}
+
+/// Whether all targets of a service, at least one, have other versions, counted likewise.
+pub(crate) fn has_only_other_versions(directory: &FleetDirectory, record: &RolloutRecord) -> bool {
+    has_target(directory, record, false) && !has_target(directory, record, true)
+}
+
+fn has_target(directory: &FleetDirectory, record: &RolloutRecord, is_new: bool) -> bool {
+    let targets = directory.targets_where(|registration| {
+        registration.service == record.service
+            && (registration.backend_version == record.new_version) == is_new
+    });
+    !targets.is_empty()
 }
--- a/crates/sequoiagw-mesh/src/rollout_proposal.rs
+++ b/crates/sequoiagw-mesh/src/rollout_proposal.rs
@@ -17,6 +17,9 @@
 /// Fraction of the duration after which watchers end a roll-out that is still in its first stage.
 const WATCHER_ROLLBACK_FRACTION: f64 = 0.9;
 
+/// Age of the shifting stage from which watchers end a roll-out whose new targets are all gone.
+const ABANDONED_SHIFT_AGE: Duration = Duration::from_secs(1);
+
 /// A record to write to the store if the one there still has a certain revision.
 #[derive(Clone, Debug, PartialEq)]
 pub struct RolloutProposal {
@@ -51,8 +54,8 @@
         self.last_watcher_writes.remove(service);
     }
 
-    /// Time at which the watcher at `position` writes a roll-out's record next, `None` if there is
-    /// nothing to write.
+    /// Time at which the watcher at `position` writes a roll-out's record next, or checks whether the
+    /// new targets are gone in the shifting stage; `None` if there is nothing to write.
     pub(crate) fn watcher_write_time(
         &self,
         known: &KnownRollout,
@@ -63,6 +66,9 @@
             None if known.record.stage() == RolloutStage::Canary => {
                 known.time_at_age(known.duration().mul_f64(WATCHER_ROLLBACK_FRACTION))
             }
+            None if known.record.stage() == RolloutStage::Shifting => {
+                known.stage_since + ABANDONED_SHIFT_AGE
+            }
             None => return None,
         };
         let retry = self.last_watcher_writes.get(&known.record.service);
@@ -72,14 +78,15 @@
         }))
     }
 
-    /// Records that this node proposes a write as a watcher.
+    /// Records that this node proposes a write, or has checked whether it has to, as a watcher.
     pub(crate) fn record_watcher_write(&mut self, service: &str, now: Instant) {
         self.last_watcher_writes.insert(service.to_owned(), now);
     }
 }
 
 /// Record that the watcher called `writer` writes: the first one of an order, a final one that the
-/// store has lost, or the end of a roll-out that hasn't left its first stage in time.
+/// store has lost, or the end of a roll-out that hasn't left its first stage in time or has lost its
+/// new targets.
 ///
 /// `is_everywhere` says whether all targets of the service already have the version, so that there is
 /// nothing to roll out.
--- a/crates/sequoiagw-mesh/tests/fleet/rollout_faults.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/rollout_faults.rs
@@ -169,3 +169,36 @@
         })
         .await;
 }
+
+/// Guards against a service without targets: if all nodes of the new version end while requests shift
+/// to them, none of them is left to write the end of the roll-out.
+#[tokio::test(start_paused = true)]
+async fn shift_whose_new_nodes_have_all_ended_is_rolled_back() {
+    LocalSet::new()
+        .run_until(async {
+            let mut fleet = RolloutFleet::start().await;
+            fleet.order("v2", DURATION_S, Quality::Good).await;
+            fleet
+                .wait_for_stage(RolloutStage::Shifting, STEP_LIMIT)
+                .await;
+            for name in NEW_NODES {
+                let member = fleet.member_mut(name);
+                member.node = None;
+                member.backend.stop();
+            }
+            fleet
+                .wait_for_stage(RolloutStage::RolledBack, END_LIMIT)
+                .await;
+            sleep(Duration::from_secs(1)).await;
+            let failed = fleet.results.failed();
+            let served = fleet.results.served();
+            sleep(Duration::from_secs(3)).await;
+            assert_eq!(
+                fleet.results.failed(),
+                failed,
+                "the old version serves calls"
+            );
+            assert!(fleet.results.served() > served + 500);
+        })
+        .await;
+}
