--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -93,7 +93,7 @@
     pub(crate) fn on_frame_body(&mut self, from: NodeId, boot: u64, body: FrameBody, now: Instant) {
         match body {
             FrameBody::Dispatch(dispatch) => {
-                self.calls.owner.on_dispatch(from, boot, dispatch, now);
+                self.on_dispatch(from, boot, dispatch, now);
             }
             FrameBody::Answer(mut answer) if answer.entry_boot == self.boot => {
                 if let Some(load) = answer.load.as_mut().filter(|_| from == self.node) {
@@ -128,6 +128,9 @@
             FrameBody::Departure(notice) => self.on_departure_notice(from, notice),
             FrameBody::DepartureReply(reply) => self.on_departure_reply(from, reply, now),
             FrameBody::Crashes(received) => self.on_crash_records(from, &received, now),
+            FrameBody::Rollouts(received) => self.on_rollout_table(from, received, now),
+            FrameBody::RunStatsRequest(request) => self.on_run_stats_request(from, &request, now),
+            FrameBody::RunStats(reply) => self.on_run_stats(from, &reply, now),
             _ => self.counters.count("frame.unexpected"),
         }
     }
--- a/crates/sequoiagw-mesh/src/core_watchers.rs
+++ b/crates/sequoiagw-mesh/src/core_watchers.rs
@@ -41,7 +41,7 @@
             sender: Some(own),
             version: self.active_version_number(),
             crash_hash: Some(self.calls.crashes.hash()),
-            rollout_hash: None,
+            rollout_hash: self.rollout_hash(),
         };
         self.announce_crashes();
         self.broadcast_to_data_centre(&FrameBody::Digest(digest), now);
@@ -55,6 +55,7 @@
 
     /// Notifies the registrar when this node becomes a watcher or no longer is one.
     pub(crate) fn update_role(&mut self, now: Instant) {
+        self.update_rollouts_on_registrations(now);
         let is_watcher = self.is_watcher();
         if is_watcher != std::mem::replace(&mut self.was_watcher, is_watcher) {
             info!(event = "watcher_role_changed", is_watcher);
@@ -92,6 +93,7 @@
         if let Some(hash) = received.crash_hash {
             self.on_crash_hash(from, hash, now);
         }
+        self.on_rollout_hash(from, received.rollout_hash, now);
         self.on_peer_version(from, received.version, now);
         let store_unavailable = sender_lacks_store || self.store_access == StoreAccess::Failing;
         let must_join = store_unavailable && self.active_version.is_none();
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -106,7 +106,12 @@
     );
     let grace = settings.grace_period;
     let core = MeshCore::new(settings, boot, NodeCounters::default());
-    let handle = MeshHandle::new(core, Box::new(links.clone()), backend, dependencies.format);
+    let handle = MeshHandle::new(
+        core,
+        Box::new(links.clone()),
+        Box::new(backend),
+        dependencies.format,
+    );
     let (phase, phase_receiver) = watch::channel(ServerPhase::Open);
     let caller_server = CallerServer::new(handle.clone(), phase_receiver.clone(), budget.clone());
     let local_server = LocalServer::new(handle.clone(), phase_receiver, budget);
@@ -128,6 +133,7 @@
     tokio::task::spawn_local(follower.clone().request_config_from_peers());
     tokio::task::spawn_local(follower.clone().follow_config());
     tokio::task::spawn_local(follower.clone().broadcast_digests());
+    tokio::task::spawn_local(follower.clone().follow_rollouts());
     tokio::task::spawn_local(follower.follow_registrations());
     tokio::task::spawn_local(registrar.run());
     let event_handle = handle.clone();
--- a/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/fleet_store.rs
@@ -10,6 +10,7 @@
 use sequoiagw_store::ChangeBatch;
 use sequoiagw_store::EraAnswer;
 use sequoiagw_store::KeyChange;
+use sequoiagw_store::KeyCondition;
 use sequoiagw_store::KeyEntry;
 use sequoiagw_store::LeaseId;
 use sequoiagw_store::PollFuture;
@@ -88,6 +89,16 @@
         })
     }
 
+    fn holds(&self, condition: &KeyCondition) -> bool {
+        match condition {
+            KeyCondition::Absent(key) => !self.entries.contains_key(key),
+            KeyCondition::Unchanged(key, revision) => {
+                let entry = self.entries.get(key);
+                entry.is_some_and(|entry| entry.mod_revision == *revision)
+            }
+        }
+    }
+
     fn execute(&mut self, request: StoreRequest) -> Result<StoreReply, StoreError> {
         let revision = self.revision;
         Ok(match request {
@@ -103,7 +114,17 @@
                     revision,
                 }
             }
-            StoreRequest::Commit { puts, .. } => self.commit(puts)?,
+            StoreRequest::Commit {
+                conditions, puts, ..
+            } => {
+                if !conditions.iter().all(|condition| self.holds(condition)) {
+                    return Ok(StoreReply::Committed {
+                        applied: false,
+                        revision: 0,
+                    });
+                }
+                self.commit(puts)?
+            }
             StoreRequest::Grant { ttl_s } => {
                 self.last_lease += 1;
                 let lease = LeaseId(self.last_lease);
@@ -213,6 +234,11 @@
         content.entries.get(key).map(|entry| entry.value.clone())
     }
 
+    /// Entry of a key, `None` if it doesn't exist.
+    pub fn entry(&self, key: &str) -> Option<KeyEntry> {
+        self.content.borrow().entries.get(key).cloned()
+    }
+
     /// Revision of the last change.
     pub fn revision(&self) -> u64 {
         self.content.borrow().revision
@@ -306,6 +332,8 @@
     store: FleetStore,
     /// Whether the store answers nothing that this node sends.
     cut: Rc<Cell<bool>>,
+    /// Whether the answers to this node's writes are lost.
+    loses_answers: Rc<Cell<bool>>,
 }
 
 impl NodeStore {
@@ -314,6 +342,7 @@
         Self {
             store: store.clone(),
             cut: Rc::default(),
+            loses_answers: Rc::default(),
         }
     }
 
@@ -322,6 +351,11 @@
         self.cut.set(cut);
     }
 
+    /// Loses the answers to writes, which the store applies, or ends that.
+    pub fn set_loses_answers(&self, loses_answers: bool) {
+        self.loses_answers.set(loses_answers);
+    }
+
     async fn wait_if_cut(&self) -> Result<(), StoreError> {
         if self.cut.get() {
             sleep(CALL_TIMEOUT).await;
@@ -346,6 +380,10 @@
             if changes_content {
                 access.store.changed.send_replace(());
             }
+            if changes_content && access.loses_answers.get() {
+                sleep(CALL_TIMEOUT).await;
+                return Err(no_answer());
+            }
             sleep(CALL_TIME / 2).await;
             Ok(answered)
         })
