--- a/crates/sequoiagw-policy/src/entry_suspects.rs
+++ b/crates/sequoiagw-policy/src/entry_suspects.rs
@@ -34,6 +34,11 @@
         }
     }
 
+    /// Whether a node is suspect.
+    pub fn is_suspect(&self, node: NodeId) -> bool {
+        self.suspects.contains_key(&node)
+    }
+
     /// Sends the probes that are due.
     pub(crate) fn probe_suspects(&mut self, now: Instant) {
         let balancer = &self.balancer;
--- /dev/null
+++ b/crates/sequoiagw-policy/src/quota_ledger.rs
@@ -0,0 +1,207 @@
+//! Counter's side of quotas: token buckets from which permits are granted.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use tokio::time::Instant;
+
+use crate::QuotaLimit;
+
+/// Part of a workspace's burst that a bucket holds. The rest of the bound covers what a previous
+/// counter granted and what entries hold.
+const CAPACITY_SHARE: f64 = 0.4;
+/// Smallest capacity of a bucket, so that a workspace without burst gets permits at all.
+const MIN_CAPACITY: f64 = 1.0;
+/// Time after its start for which a bucket refills slowly, since a previous counter may still grant.
+const START_PHASE: Duration = Duration::from_secs(2);
+/// Part of the rate at which a bucket refills in its start phase.
+const START_SHARE: f64 = 0.5;
+/// Part of the rate at which a bucket refills after its start phase while the node that other
+/// entries ask is known to be running. In 5 s it adds half a second's rate to the sum.
+const STANDBY_SHARE: f64 = 0.1;
+/// Time without a request after which a bucket is removed.
+const IDLE_RETENTION: Duration = Duration::from_secs(60);
+/// Interval at which idle buckets are looked for.
+const CLEAN_INTERVAL: Duration = Duration::from_secs(10);
+/// Longest part of a retry delay that is due to refused requests of other entries.
+const MAX_BACKLOG_TIME: Duration = Duration::from_secs(1);
+/// Longest retry delay.
+const MAX_RETRY_DELAY: Duration = Duration::from_secs(60);
+/// Tolerance of comparisons with whole tokens; sums of refills are rounded.
+const TOKEN_ROUNDING: f64 = 1e-9;
+
+/// What a counter knows about its part in the fleet when it grants permits.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CounterMandate {
+    /// Part of a workspace's rate that this counter may grant, from 0 to 1.
+    pub share: f64,
+    /// Whether another node, which is known to be running, comes before this one as counter.
+    pub standby: bool,
+    /// Since when this node has been the counter, as far as it knows; the time of the request if it
+    /// takes over.
+    pub counting_since: Instant,
+}
+
+/// Answer to a request for permits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct QuotaAnswer {
+    /// Number of permits.
+    pub granted: u32,
+    /// Time until there are permits again, zero if there are any now.
+    pub retry_after: Duration,
+}
+
+/// Tokens of a workspace.
+#[derive(Clone, Copy, Debug)]
+struct QuotaBucket {
+    tokens: f64,
+    /// Permits that were requested and not granted, and for which the callers return later.
+    backlog: f64,
+    started: Instant,
+    updated: Instant,
+}
+
+/// Token buckets of the workspaces that a node counts, created with their first requests.
+#[derive(Clone, Debug)]
+pub struct QuotaLedger {
+    buckets: HashMap<String, QuotaBucket>,
+    /// Earliest start of a bucket.
+    valid_since: Instant,
+    cleaned: Instant,
+}
+
+impl QuotaLedger {
+    /// Creates a ledger of a process that starts now.
+    pub fn new(now: Instant) -> Self {
+        Self {
+            buckets: HashMap::new(),
+            valid_since: now,
+            cleaned: now,
+        }
+    }
+
+    /// Grants up to `wanted` permits of a workspace.
+    pub fn grant(
+        &mut self,
+        workspace: &str,
+        limit: QuotaLimit,
+        wanted: u32,
+        mandate: CounterMandate,
+        now: Instant,
+    ) -> QuotaAnswer {
+        self.remove_idle(now);
+        if !self.buckets.contains_key(workspace) {
+            let started = mandate.counting_since.max(self.valid_since).min(now);
+            let bucket = QuotaBucket::new(started);
+            self.buckets.insert(workspace.to_owned(), bucket);
+        }
+        self.buckets
+            .get_mut(workspace)
+            .map_or(QuotaAnswer::NONE, |bucket| {
+                bucket.refill(limit, mandate, now);
+                bucket.take(wanted, bucket.refill_rate(limit, mandate, now))
+            })
+    }
+
+    /// Starts all buckets anew after the process was paused: another node has counted meanwhile.
+    pub fn reset(&mut self, now: Instant) {
+        self.buckets.clear();
+        self.valid_since = now;
+    }
+
+    /// Number of workspaces with a bucket.
+    pub fn len(&self) -> usize {
+        self.buckets.len()
+    }
+
+    /// Whether no workspace has a bucket.
+    pub fn is_empty(&self) -> bool {
+        self.buckets.is_empty()
+    }
+
+    /// Time of the last request for permits of any workspace, `None` without buckets.
+    pub fn last_request(&self) -> Option<Instant> {
+        self.buckets.values().map(|bucket| bucket.updated).max()
+    }
+
+    fn remove_idle(&mut self, now: Instant) {
+        if now < self.cleaned + CLEAN_INTERVAL {
+            return;
+        }
+        self.cleaned = now;
+        self.buckets
+            .retain(|_, bucket| now < bucket.updated + IDLE_RETENTION);
+    }
+}
+
+impl QuotaAnswer {
+    const NONE: Self = Self {
+        granted: 0,
+        retry_after: MAX_RETRY_DELAY,
+    };
+}
+
+impl QuotaBucket {
+    fn new(started: Instant) -> Self {
+        Self {
+            tokens: 0.0,
+            backlog: 0.0,
+            started,
+            updated: started,
+        }
+    }
+
+    fn refill(&mut self, limit: QuotaLimit, mandate: CounterMandate, now: Instant) {
+        let start_end = (self.started + START_PHASE).clamp(self.updated, now.max(self.updated));
+        let in_start = start_end.saturating_duration_since(self.updated);
+        let after_start = now.saturating_duration_since(start_end);
+        let later_share = later_share(mandate);
+        let full_rate_time =
+            START_SHARE * in_start.as_secs_f64() + later_share * after_start.as_secs_f64();
+        let refilled = limit.rate_per_s * mandate.share * full_rate_time;
+        let capacity = (CAPACITY_SHARE * limit.burst).max(MIN_CAPACITY);
+        self.tokens = (self.tokens + refilled).min(capacity);
+        self.backlog = (self.backlog - refilled).max(0.0);
+        self.updated = now.max(self.updated);
+    }
+
+    /// Tokens per second that the bucket gets now.
+    fn refill_rate(&self, limit: QuotaLimit, mandate: CounterMandate, now: Instant) -> f64 {
+        let phase_share = if now < self.started + START_PHASE {
+            START_SHARE
+        } else {
+            later_share(mandate)
+        };
+        limit.rate_per_s * mandate.share * phase_share
+    }
+
+    fn take(&mut self, wanted: u32, refill_rate: f64) -> QuotaAnswer {
+        let available = (self.tokens + TOKEN_ROUNDING).floor().max(0.0);
+        let granted = available.min(f64::from(wanted));
+        self.tokens -= granted;
+        let retry_after = if self.tokens + TOKEN_ROUNDING >= 1.0 {
+            Duration::ZERO
+        } else {
+            let own_wait = (1.0 - self.tokens) / refill_rate;
+            let backlog_wait = self.backlog / refill_rate;
+            let wait = own_wait + backlog_wait.min(MAX_BACKLOG_TIME.as_secs_f64());
+            Duration::try_from_secs_f64(wait)
+                .map_or(MAX_RETRY_DELAY, |wait| wait.min(MAX_RETRY_DELAY))
+        };
+        let max_backlog = refill_rate * MAX_BACKLOG_TIME.as_secs_f64();
+        self.backlog = (self.backlog + f64::from(wanted) - granted).min(max_backlog);
+        QuotaAnswer {
+            granted: granted as u32,
+            retry_after,
+        }
+    }
+}
+
+/// Part of the rate at which a bucket refills after its start phase.
+const fn later_share(mandate: CounterMandate) -> f64 {
+    if mandate.standby {
+        STANDBY_SHARE
+    } else {
+        1.0
+    }
+}
