Quotas: the node's side

A caller of a workspace with a limit waits for a permit before its call begins; the node chosen by rendezvous hashing counts the workspace. Off unless the settings' contracts name quota.

--- a/crates/sequoiagw-mesh/src/caller_server.rs
+++ b/crates/sequoiagw-mesh/src/caller_server.rs
@@ -32,6 +32,8 @@
 use crate::retry_after_delay;
 use crate::MeshHandle;
 use crate::MeshRoute;
+use crate::PermitRefusal;
+use crate::Workspace;
 
 /// Status of a refusal of a request that hasn't run; its caller may return.
 const STATUS_RETRY: u16 = 503;
@@ -142,6 +144,12 @@
                 version.number,
             );
         };
+        if let Some(workspace) = access.workspace() {
+            if let Err(refusal) = self.handle.acquire_permit(workspace).await {
+                return self.refuse_permit(refusal, workspace, &request_id, &route.name);
+            }
+        }
+        let timeout = timeout.saturating_sub(arrival.elapsed());
         let spec = CallSpec {
             level: access.level(&route),
             ..self.call_spec(&route, caller_timeout, timeout)
@@ -249,6 +257,27 @@
         }
     }
 
+    /// Refuses a request of a workspace that got no permit.
+    fn refuse_permit(
+        &self,
+        refusal: PermitRefusal,
+        workspace: &Workspace,
+        request_id: &str,
+        route: &str,
+    ) -> HttpReply {
+        let rule = refusal.kind.rule();
+        self.handle.counters().count_refusal(rule.name);
+        info!(
+            target: REQUEST_LOG_TARGET,
+            event = "call_refused", request = request_id, reason = rule.name, ran = %rule.ran,
+            tries = 0, route, workspace = %workspace.name,
+            retry_after_ms = refusal.retry_after.as_millis() as u64
+        );
+        let mut reply = HttpReply::empty(rule.status);
+        push_retry_after(&mut reply, refusal.retry_after);
+        reply
+    }
+
     fn refuse(&self, kind: ErrorKind, request_id: &str, route: &str, version: u64) -> HttpReply {
         self.handle.counters().count_refusal(kind.rule().name);
         info!(
@@ -271,7 +300,11 @@
     let mut reply = HttpReply::empty(status);
     if status == STATUS_RETRY {
         let delay = retry_after_delay(kind, level);
-        reply.push_header("Retry-After", &format!("{:.3}", delay.as_secs_f64()));
+        push_retry_after(&mut reply, delay);
     }
     reply
 }
+
+fn push_retry_after(reply: &mut HttpReply, delay: Duration) {
+    reply.push_header("Retry-After", &format!("{:.3}", delay.as_secs_f64()));
+}
--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -103,6 +103,7 @@
             }
         }
         self.known_boots = boots;
+        self.update_quota_members(now);
         self.calls
             .entry
             .balancer_mut()
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -18,6 +18,7 @@
         let from = frame.sender_id();
         self.counters.add_frame_bytes(frame.kind(), bytes);
         self.calls.entry.on_contact(from, now);
+        self.note_quota_contact(from, now);
         if let Some(body) = frame.body {
             self.on_frame_body(from, frame.boot, body, now);
         }
@@ -29,6 +30,7 @@
     pub fn on_part_received(&mut self, node: NodeId, bytes: usize, now: Instant) {
         self.counters.add_frame_bytes(FrameKind::Call, bytes);
         self.calls.entry.on_contact(node, now);
+        self.note_quota_contact(node, now);
     }
 
     /// Handles a new link to a node. When the node has restarted, the link shows its new boot
@@ -62,8 +64,12 @@
         for node in self.directory.nodes_at(address) {
             for body in frames.iter().filter_map(|frame| frame.body.as_ref()) {
                 self.calls.on_undelivered(node, body, now);
-                if let FrameBody::Departure(_) = body {
-                    self.on_departure_undelivered(node, now);
+                match body {
+                    FrameBody::Departure(_) => self.on_departure_undelivered(node, now),
+                    FrameBody::QuotaRequest(request) => {
+                        self.on_quota_undelivered(request.request, now);
+                    }
+                    _ => {}
                 }
             }
         }
@@ -105,6 +111,10 @@
             FrameBody::Departure(notice) => self.on_departure_notice(from, notice),
             FrameBody::DepartureReply(reply) => self.on_departure_reply(from, reply, now),
             FrameBody::Crashes(received) => self.on_crash_records(from, &received, now),
+            FrameBody::QuotaRequest(request) if self.has_quotas() => {
+                self.on_quota_request(from, &request, now);
+            }
+            FrameBody::QuotaGrant(grant) if self.has_quotas() => self.on_quota_grant(grant, now),
             _ => self.counters.count("frame.unexpected"),
         }
     }
--- a/crates/sequoiagw-mesh/src/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/src/fleet_directory.rs
@@ -208,6 +208,23 @@
         Some(record.registration.name.clone())
     }
 
+    /// Data centre of a node.
+    pub fn data_centre(&self, node: NodeId) -> Option<&str> {
+        let record = self.nodes.get(&node)?;
+        Some(&record.registration.data_centre)
+    }
+
+    /// Numbers of nodes by data centre, with those that departed in the last minute.
+    pub fn recent_counts(&self) -> BTreeMap<String, usize> {
+        let departed = self.departures.values().map(|departure| &departure.record);
+        let mut counts = BTreeMap::new();
+        for record in self.nodes.values().chain(departed) {
+            let centre = record.registration.data_centre.clone();
+            *counts.entry(centre).or_insert(0) += 1;
+        }
+        counts
+    }
+
     /// Nodes at an address.
     pub fn nodes_at(&self, address: NodeAddress) -> Vec<NodeId> {
         let matching = self
--- a/crates/sequoiagw-mesh/src/mesh_action.rs
+++ b/crates/sequoiagw-mesh/src/mesh_action.rs
@@ -1,6 +1,8 @@
 //! Actions that the core requests from its I/O layer.
 
 use sequoiagw_policy::CallerReply;
+use sequoiagw_policy::PermitOutcome;
+use sequoiagw_policy::PermitTicket;
 use sequoiagw_policy::RunId;
 use sequoiagw_policy::RunRequest;
 use sequoiagw_protocol::NodeAddress;
@@ -19,6 +21,8 @@
     Abort(RunId),
     /// Reply to the caller of the call with this number.
     Reply(u64, CallerReply),
+    /// Tell a caller that waited for a permit the outcome.
+    Permit(PermitTicket, PermitOutcome),
     /// Write the node's own registration to the store again.
     RegistrationChanged,
     /// Someone else knows the latest departure of the backend server.
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -25,6 +25,7 @@
 use sequoiagw_store::StoreEra;
 use tokio::time::Instant;
 
+use crate::node_quotas::NodeQuotas;
 use crate::DepartureHolders;
 use crate::DepartureList;
 use crate::DepartureRecovery;
@@ -73,6 +74,8 @@
     pub(crate) previous_versions: VecDeque<Rc<MeshVersion>>,
     pub(crate) traffic_splitter: TrafficSplitter,
     pub(crate) refused_callers: RefusedCallers,
+    /// `None` if workspaces have no quotas here.
+    pub(crate) quotas: Option<NodeQuotas>,
     pub(crate) watchers: WatcherMonitor,
     /// Whether this node was a watcher as of the last change of the directory.
     pub(crate) was_watcher: bool,
@@ -105,6 +108,8 @@
         let entry_rng = ChaCha8Rng::seed_from_u64(rng.random());
         let backend = &settings.backend;
         let address = backend.address.to_string();
+        let new_quotas = |_| NodeQuotas::new(&settings.data_centre, boot, Instant::now());
+        let quotas = settings.quota.map(new_quotas);
         Self {
             node,
             boot,
@@ -122,6 +127,7 @@
             previous_versions: VecDeque::new(),
             traffic_splitter: TrafficSplitter::default(),
             refused_callers: RefusedCallers::default(),
+            quotas,
             watchers: WatcherMonitor::with_startup_grace(Instant::now()),
             was_watcher: false,
             known_boots: HashMap::new(),
@@ -291,6 +297,7 @@
         self.calls.on_tick(now);
         self.send_crash_news(now);
         self.departure_recovery.on_tick(now);
+        self.tick_quotas(now);
         self.update_slot_offer(now);
         let entry = &self.calls.entry;
         if self.directory.expire(now, |node| entry.last_contact(node)) {
@@ -311,6 +318,7 @@
             heartbeat_deadline,
             self.departure_recovery.next_wake(),
             self.directory.next_expiry(now),
+            self.quota_wake(now),
         ];
         times.into_iter().flatten().min()
     }
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -13,10 +13,15 @@
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
 use sequoiagw_policy::CallerReply;
+use sequoiagw_policy::PermitOutcome;
+use sequoiagw_policy::PermitTicket;
+use sequoiagw_policy::QuotaDecision;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::oneshot;
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::permit_wait::PermitTable;
 use crate::MeshAction;
 use crate::MeshBackend;
 use crate::MeshCore;
@@ -31,6 +36,7 @@
     links: Box<dyn PeerLinks>,
     backend: MeshBackend,
     replies: ReplyTable,
+    permits: PermitTable,
 }
 
 /// Handle of a running node; clones share the node.
@@ -62,6 +68,7 @@
             links,
             backend,
             replies: ReplyTable::default(),
+            permits: PermitTable::default(),
         };
         Self {
             inner: Rc::new(RefCell::new(inner)),
@@ -126,6 +133,32 @@
         wait_for_reply(receiver, level, || self.cancel(call)).await
     }
 
+    /// Starts the wait for a permit; there is a receiver of the outcome if the caller has to wait.
+    pub(crate) fn begin_permit(
+        &self,
+        workspace: &str,
+    ) -> (QuotaDecision, Option<oneshot::Receiver<PermitOutcome>>) {
+        let (decision, receiver) = {
+            let mut inner = self.inner.borrow_mut();
+            let decision = inner.core.take_permit(workspace, Instant::now());
+            let receiver = match decision {
+                QuotaDecision::Waiting(ticket) => Some(inner.permits.open(ticket)),
+                QuotaDecision::Allowed | QuotaDecision::Refused { .. } => None,
+            };
+            (decision, receiver)
+        };
+        self.run_actions();
+        self.timer_changed.notify_one();
+        (decision, receiver)
+    }
+
+    /// Frees the place of a caller that waited for a permit.
+    pub(crate) fn leave_permit_queue(&self, ticket: PermitTicket) {
+        let mut inner = self.inner.borrow_mut();
+        inner.permits.remove(ticket);
+        inner.core.leave_permit_queue(ticket);
+    }
+
     fn cancel(&self, call: u64) {
         self.inner.borrow_mut().replies.remove(call);
         self.with_core(|core, now| core.cancel_call(call, now));
@@ -235,6 +268,7 @@
             }
             MeshAction::Abort(run) => inner.backend.abort(run),
             MeshAction::Reply(call, reply) => inner.replies.resolve(call, reply),
+            MeshAction::Permit(ticket, outcome) => inner.permits.resolve(ticket, outcome),
             MeshAction::RegistrationChanged => self.registration_changed.notify_one(),
             MeshAction::DepartureHeld => self.departure_held.notify_waiters(),
             MeshAction::WatchersLost => self.watchers_lost.notify_waiters(),
--- a/crates/sequoiagw-mesh/src/mesh_settings.rs
+++ b/crates/sequoiagw-mesh/src/mesh_settings.rs
@@ -3,6 +3,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sequoiagw_policy::QuotaLimit;
+
 /// Settings of a node.
 #[derive(Clone, Debug)]
 pub struct MeshSettings {
@@ -34,6 +36,8 @@
     pub grace_period: Duration,
     /// Retries that the fleet may make.
     pub retry_budget: RetryBudgetSettings,
+    /// Bounds of workspaces' quotas; `None` if quotas are off.
+    pub quota: Option<QuotaSettings>,
 }
 
 /// Backend server next to a node.
@@ -56,3 +60,22 @@
     /// Additional retries allowed in each time window.
     pub extra_per_window: f64,
 }
+
+/// Bounds within which the fleet keeps the quotas of workspaces.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct QuotaSettings {
+    /// Time window over which requests are counted.
+    pub window: Duration,
+    /// Part of the quota by which it may be exceeded in a window.
+    pub overrun: f64,
+    /// Additional requests that a window may have.
+    pub tolerance: f64,
+}
+
+impl QuotaSettings {
+    /// Largest number of requests of a workspace in any window.
+    pub fn bound(&self, limit: QuotaLimit) -> f64 {
+        let quota = limit.rate_per_s * self.window.as_secs_f64() + limit.burst;
+        quota * (1.0 + self.overrun) + self.tolerance
+    }
+}
--- a/crates/sequoiagw-mesh/src/mesh_version.rs
+++ b/crates/sequoiagw-mesh/src/mesh_version.rs
@@ -222,6 +222,11 @@
         !self.workspaces.is_empty()
     }
 
+    /// Workspace with a name.
+    pub fn workspace(&self, name: &str) -> Option<&Workspace> {
+        self.workspaces.find_by_name(name)
+    }
+
     /// Workspace that holds a key.
     pub fn find_workspace(&self, key: &str) -> Option<&Rc<Workspace>> {
         self.workspaces.find(&ApiKeyDigest::of_key(key))
--- a/crates/sequoiagw-mesh/src/workspace_table.rs
+++ b/crates/sequoiagw-mesh/src/workspace_table.rs
@@ -91,6 +91,12 @@
         Some(&holder.workspace)
     }
 
+    /// Workspace with a name.
+    pub(crate) fn find_by_name(&self, name: &str) -> Option<&Workspace> {
+        let digested = self.by_name.get(name)?;
+        Some(&digested.keyed.workspace)
+    }
+
     /// Whether there are no workspaces.
     pub(crate) fn is_empty(&self) -> bool {
         self.by_name.is_empty()
--- a/crates/sequoiagw-mesh/tests/support/mod.rs
+++ b/crates/sequoiagw-mesh/tests/support/mod.rs
@@ -47,6 +47,7 @@
             ratio: 0.2,
             extra_per_window: 50.0,
         },
+        quota: None,
     }
 }
 
