--- /dev/null
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/bound_property.rs
@@ -0,0 +1,108 @@
+//! The bound under arbitrary cuts, pauses, deaths and demand.
+
+use std::time::Duration;
+
+use bolero::TypeGenerator;
+
+use crate::quota_fleet::demand;
+use crate::quota_fleet::limit;
+use crate::quota_fleet::QuotaFleet;
+
+/// Nodes of the fleet, in three data centres.
+const FLEET_SIZE: usize = 12;
+/// Largest number of events in a case.
+const MAX_EVENTS: usize = 16;
+
+/// A change of the fleet or of the load.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum FleetEvent {
+    /// Cuts a data centre off.
+    CutCentre(u8),
+    /// Cuts a node off.
+    CutNode(u8),
+    /// Ends all cuts.
+    Heal,
+    /// Ends the process of the counter or of another node.
+    Kill(Option<u8>),
+    /// Starts the processes that have ended.
+    RestartAll,
+    /// Stops the process of the counter or of another node.
+    Pause(Option<u8>),
+    /// Wakes all processes.
+    WakeAll,
+    /// Lets the nodes with an even or odd number learn that the registration of the counter is gone.
+    Remove(bool),
+    /// Changes the demand, up to 8 times the quota.
+    Demand(u8),
+}
+
+/// An event with the time that passes after it, in units of 50 ms.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+struct TimedEvent {
+    event: FleetEvent,
+    after: u8,
+}
+
+fn apply(fleet: &mut QuotaFleet, event: FleetEvent, demand_factor: &mut f64) {
+    let counter = fleet.counter_of("large");
+    let chosen = |node: Option<u8>| node.map_or(counter, |node| usize::from(node) % FLEET_SIZE);
+    match event {
+        FleetEvent::CutCentre(number) => {
+            let number = usize::from(number) % 3;
+            let nodes = fleet.centre(number);
+            fleet.set_part(&nodes, number + 1);
+        }
+        FleetEvent::CutNode(node) => {
+            let node = usize::from(node) % FLEET_SIZE;
+            fleet.set_part(&[node], 10 + node);
+        }
+        FleetEvent::Heal => {
+            let all = fleet.all();
+            fleet.set_part(&all, 0);
+        }
+        FleetEvent::Kill(node) => fleet.kill(chosen(node)),
+        FleetEvent::RestartAll => {
+            for node in fleet.all() {
+                if !fleet.is_alive(node) {
+                    fleet.restart(node);
+                }
+            }
+        }
+        FleetEvent::Pause(node) => fleet.pause(chosen(node)),
+        FleetEvent::WakeAll => {
+            for node in fleet.all() {
+                fleet.wake(node);
+            }
+        }
+        FleetEvent::Remove(odd) => {
+            let nodes = fleet.all().into_iter();
+            let nodes: Vec<usize> = nodes.filter(|node| (node % 2 == 1) == odd).collect();
+            fleet.report_removed(counter, &nodes);
+        }
+        FleetEvent::Demand(tenths) => *demand_factor = 0.2 + f64::from(tenths % 80) / 10.0,
+    }
+}
+
+#[test]
+fn any_window_stays_within_the_bound_under_any_faults() {
+    bolero::check!()
+        .with_type::<(u64, bool, Vec<TimedEvent>)>()
+        .with_iterations(150)
+        .for_each(|(seed, is_large, events)| {
+            let quota = limit(if *is_large { 200.0 } else { 40.0 });
+            let mut fleet = QuotaFleet::start(FLEET_SIZE, *seed, &[("large", quota)]);
+            let mut factor = 7.0;
+            let advance = |fleet: &mut QuotaFleet, factor: f64, time: Duration| {
+                let load = [demand("large", quota.rate_per_s * factor, fleet.all())];
+                fleet.run(time, &load);
+            };
+            advance(&mut fleet, factor, Duration::from_secs(3));
+            for timed in events.iter().take(MAX_EVENTS) {
+                apply(&mut fleet, timed.event, &mut factor);
+                let time = Duration::from_millis(50) * u32::from(timed.after % 60);
+                advance(&mut fleet, factor, time);
+            }
+            advance(&mut fleet, factor, Duration::from_secs(5));
+            fleet.assert_within_bound("large", quota);
+        });
+}
--- /dev/null
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/quota_fleet.rs
@@ -0,0 +1,450 @@
+//! A fleet of node state machines with a simulated network and simulated callers.
+
+use std::collections::BTreeMap;
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use sequoiagw_mesh::first_counter;
+use sequoiagw_mesh::CallerLimits;
+use sequoiagw_mesh::KeyedWorkspace;
+use sequoiagw_mesh::MeshAction;
+use sequoiagw_mesh::MeshCore;
+use sequoiagw_mesh::MeshVersion;
+use sequoiagw_mesh::NodeRegistration;
+use sequoiagw_mesh::QuotaSettings;
+use sequoiagw_mesh::RegistrationChange;
+use sequoiagw_mesh::Workspace;
+use sequoiagw_node::NodeCounters;
+use sequoiagw_policy::PermitOutcome;
+use sequoiagw_policy::QuotaDecision;
+use sequoiagw_policy::QuotaLimit;
+use sequoiagw_protocol::NodeAddress;
+use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::PeerFrame;
+use sequoiagw_store::StoreEra;
+use tokio::time::Instant;
+
+use crate::support;
+use crate::use_log::UseLog;
+
+/// Data centres, to which nodes belong in turn.
+const CENTRES: [&str; 3] = ["north", "east", "west"];
+/// Time from one node to another of the same data centre, and of another one.
+const LOCAL_LATENCY: Duration = Duration::from_micros(300);
+const REMOTE_LATENCY: Duration = Duration::from_micros(1700);
+/// Boot of the first process of each node.
+const FIRST_BOOT: u64 = 1;
+/// Longest time between two ticks of a node.
+const MAX_TICK_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Bounds of the quotas.
+pub const BOUNDS: QuotaSettings = QuotaSettings {
+    window: Duration::from_secs(5),
+    overrun: 0.1,
+    tolerance: 20.0,
+};
+
+/// Requests of a workspace's callers, spread over some nodes.
+#[derive(Clone, Debug)]
+pub struct Demand {
+    pub workspace: String,
+    pub rate_per_s: f64,
+    pub nodes: Vec<usize>,
+}
+
+struct FleetMember {
+    core: MeshCore,
+    is_alive: bool,
+    is_paused: bool,
+    /// Part of the fleet that the node is in touch with.
+    part: usize,
+    /// Frames that arrived while the process was paused.
+    unread: Vec<PeerFrame>,
+    next_tick: Instant,
+}
+
+struct Delivery {
+    from: usize,
+    to: usize,
+    frame: PeerFrame,
+}
+
+/// Nodes, network, callers and what they got.
+pub struct QuotaFleet {
+    pub now: Instant,
+    pub rng: ChaCha8Rng,
+    pub logs: BTreeMap<String, UseLog>,
+    /// Frames sent.
+    pub frames: usize,
+    members: Vec<FleetMember>,
+    by_address: HashMap<NodeAddress, usize>,
+    network: BTreeMap<(Instant, u64), Delivery>,
+    sent: u64,
+    waiting: HashMap<(usize, u64), (String, Instant)>,
+}
+
+impl QuotaFleet {
+    /// Starts a fleet whose nodes know each other, with these workspaces.
+    pub fn start(size: usize, seed: u64, limits: &[(&str, QuotaLimit)]) -> Self {
+        let started = Instant::now();
+        let registrations: Vec<NodeRegistration> = (0..size).map(registration).collect();
+        let members = (0..size).map(|index| FleetMember {
+            core: start_core(index, FIRST_BOOT),
+            is_alive: true,
+            is_paused: false,
+            part: 0,
+            unread: Vec::new(),
+            next_tick: started,
+        });
+        let members: Vec<FleetMember> = members.collect();
+        // Later than the starts of all processes, which read the clock.
+        let now = Instant::now();
+        let addresses = registrations.iter().enumerate().map(|(index, record)| {
+            let address = NodeAddress::parse(&record.address).expect("an address");
+            (address, index)
+        });
+        let mut fleet = Self {
+            now,
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            logs: BTreeMap::new(),
+            frames: 0,
+            members,
+            by_address: addresses.collect(),
+            network: BTreeMap::new(),
+            sent: 0,
+            waiting: HashMap::new(),
+        };
+        for index in 0..size {
+            let stored = registrations.iter().cloned();
+            let stored = stored.map(|record| {
+                let revision = record.written_at(5);
+                (record, revision)
+            });
+            let core = &mut fleet.members[index].core;
+            core.on_registrations(stored.collect(), StoreEra::default(), now);
+            core.take_actions();
+        }
+        fleet.set_limits(1, limits);
+        fleet
+    }
+
+    /// Puts a version with these limits in force at all nodes.
+    pub fn set_limits(&mut self, version: u64, limits: &[(&str, QuotaLimit)]) {
+        let workspaces = limits.iter().map(|(name, limit)| KeyedWorkspace {
+            workspace: Workspace {
+                name: (*name).to_owned(),
+                level: None,
+                quota: Some(*limit),
+            },
+            keys: Vec::new(),
+        });
+        let compiled = MeshVersion::new(version, Vec::new(), CallerLimits::default());
+        let compiled = Rc::new(compiled.with_workspaces(workspaces.collect()));
+        for member in &mut self.members {
+            member.core.activate_from_store(&compiled, self.now);
+            member.core.take_actions();
+        }
+    }
+
+    /// Nodes of a data centre, by its number.
+    pub fn centre(&self, number: usize) -> Vec<usize> {
+        let indexes = 0..self.members.len();
+        indexes
+            .filter(|index| index % CENTRES.len() == number)
+            .collect()
+    }
+
+    /// All nodes.
+    pub fn all(&self) -> Vec<usize> {
+        (0..self.members.len()).collect()
+    }
+
+    /// Node that counts a workspace while the fleet is whole.
+    pub fn counter_of(&self, workspace: &str) -> usize {
+        let nodes = || (0..self.members.len()).map(node_id);
+        let counter = first_counter(workspace, nodes(), |_| false);
+        let position = nodes().position(|node| Some(node) == counter);
+        position.expect("a counter")
+    }
+
+    /// Cuts nodes off from those of other parts; all nodes are in part 0 at first.
+    pub fn set_part(&mut self, nodes: &[usize], part: usize) {
+        for node in nodes {
+            self.members[*node].part = part;
+        }
+    }
+
+    /// Ends a node's process.
+    pub fn kill(&mut self, node: usize) {
+        self.members[node].is_alive = false;
+        self.waiting.retain(|(entry, _), _| *entry != node);
+    }
+
+    /// Starts a new process at a node.
+    pub fn restart(&mut self, node: usize) {
+        let size = self.members.len();
+        let mut core = start_core(node, FIRST_BOOT + 1_000_000 + self.sent);
+        let stored = (0..size).map(registration).map(|record| {
+            let revision = record.written_at(5);
+            (record, revision)
+        });
+        core.on_registrations(stored.collect(), StoreEra::default(), self.now);
+        let version = self
+            .members
+            .iter()
+            .find_map(|member| member.core.active_version().cloned());
+        if let Some(version) = version {
+            core.activate_from_store(&version, self.now);
+        }
+        core.take_actions();
+        let member = &mut self.members[node];
+        member.core = core;
+        member.is_alive = true;
+        member.is_paused = false;
+        member.unread.clear();
+        member.next_tick = self.now;
+    }
+
+    /// Lets some nodes learn that a node's registration is gone.
+    pub fn report_removed(&mut self, node: usize, at: &[usize]) {
+        let now = self.now;
+        let revision = registration(node).written_at(6);
+        let change = RegistrationChange::Removed(node_id(node), revision);
+        for index in at {
+            let core = &mut self.members[*index].core;
+            core.on_registration_changes(std::slice::from_ref(&change), now);
+            self.after_event(*index);
+        }
+    }
+
+    /// Stops a process; what it receives is read when it wakes.
+    pub fn pause(&mut self, node: usize) {
+        self.members[node].is_paused = true;
+    }
+
+    /// Wakes a process that was stopped. It reads what it received before it notices the time.
+    pub fn wake(&mut self, node: usize) {
+        self.members[node].is_paused = false;
+        for frame in std::mem::take(&mut self.members[node].unread) {
+            let now = self.now;
+            self.members[node].core.on_frame(frame, 50, now);
+            self.after_event(node);
+        }
+    }
+
+    /// Lets all nodes' calls to the store fail.
+    pub fn set_store_failing(&mut self) {
+        for member in &mut self.members {
+            member.core.set_store_failing(true);
+        }
+    }
+
+    /// Whether a node's process runs.
+    pub fn is_alive(&self, node: usize) -> bool {
+        self.members[node].is_alive
+    }
+
+    /// Lets callers send requests for a time.
+    pub fn run(&mut self, time: Duration, demands: &[Demand]) {
+        let end = self.now + time;
+        let mut arrivals: BTreeMap<(Instant, usize), ()> = BTreeMap::new();
+        for index in 0..demands.len() {
+            arrivals.insert((self.next_arrival(&demands[index]), index), ());
+        }
+        loop {
+            let frame = self.network.keys().next().map(|(at, _)| *at);
+            let tick = self.next_tick();
+            let arrival = arrivals.keys().next().map(|(at, _)| *at);
+            let next = [frame, tick.map(|(at, _)| at), arrival]
+                .into_iter()
+                .flatten()
+                .min();
+            let Some(next) = next.filter(|next| *next < end) else {
+                self.now = end;
+                return;
+            };
+            self.now = self.now.max(next);
+            if frame == Some(next) {
+                self.deliver_next();
+            } else if arrival == Some(next) {
+                if let Some(((_, index), ())) = arrivals.pop_first() {
+                    self.request(&demands[index]);
+                    arrivals.insert((self.next_arrival(&demands[index]), index), ());
+                }
+            } else if let Some((_, node)) = tick {
+                let now = self.now;
+                self.members[node].core.on_tick(now);
+                self.after_event(node);
+            }
+        }
+    }
+
+    fn next_arrival(&mut self, demand: &Demand) -> Instant {
+        let uniform: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
+        self.now + Duration::from_secs_f64(-uniform.ln() / demand.rate_per_s)
+    }
+
+    fn next_tick(&self) -> Option<(Instant, usize)> {
+        let members = self.members.iter().enumerate();
+        let running = members.filter(|(_, member)| member.is_alive && !member.is_paused);
+        running
+            .map(|(index, member)| (member.next_tick, index))
+            .min()
+    }
+
+    fn deliver_next(&mut self) {
+        let Some((_, delivery)) = self.network.pop_first() else {
+            return;
+        };
+        let now = self.now;
+        let sender_part = self.members[delivery.from].part;
+        let receiver = &mut self.members[delivery.to];
+        if !receiver.is_alive || receiver.part != sender_part {
+            return;
+        }
+        if receiver.is_paused {
+            receiver.unread.push(delivery.frame);
+            return;
+        }
+        receiver.core.on_frame(delivery.frame, 50, now);
+        self.after_event(delivery.to);
+    }
+
+    /// Sends one request of a caller at a random node of the demand.
+    fn request(&mut self, demand: &Demand) {
+        let node = demand.nodes[self.rng.random_range(0..demand.nodes.len())];
+        let member = &mut self.members[node];
+        if !member.is_alive || member.is_paused {
+            return;
+        }
+        let now = self.now;
+        let workspace = demand.workspace.clone();
+        let decision = member.core.take_permit(&workspace, now);
+        let log = self.logs.entry(workspace.clone()).or_default();
+        match decision {
+            QuotaDecision::Allowed => {
+                log.allowed.push(now);
+                log.waits.push(Duration::ZERO);
+            }
+            QuotaDecision::Refused { .. } => log.refused.push(now),
+            QuotaDecision::Waiting(ticket) => {
+                self.waiting.insert((node, ticket), (workspace, now));
+            }
+        }
+        self.after_event(node);
+    }
+
+    /// Carries out a node's actions and updates its timer.
+    fn after_event(&mut self, node: usize) {
+        let now = self.now;
+        for action in self.members[node].core.take_actions() {
+            match action {
+                MeshAction::Send(address, frame) => self.send(node, address, *frame),
+                MeshAction::Permit(ticket, outcome) => self.settle(node, ticket, outcome),
+                _ => {}
+            }
+        }
+        let member = &mut self.members[node];
+        let wake = member.core.next_wake(now);
+        let latest = now + MAX_TICK_INTERVAL;
+        let wake = wake.map_or(latest, |wake| wake.min(latest));
+        member.next_tick = wake.max(now + Duration::from_micros(100));
+    }
+
+    fn send(&mut self, from: usize, address: NodeAddress, frame: PeerFrame) {
+        self.frames += 1;
+        let Some(to) = self.by_address.get(&address).copied() else {
+            return;
+        };
+        if self.members[from].part != self.members[to].part {
+            return;
+        }
+        let is_local = from % CENTRES.len() == to % CENTRES.len();
+        let latency = if is_local {
+            LOCAL_LATENCY
+        } else {
+            REMOTE_LATENCY
+        };
+        self.sent += 1;
+        let delivery = Delivery { from, to, frame };
+        self.network
+            .insert((self.now + latency, self.sent), delivery);
+    }
+
+    fn settle(&mut self, node: usize, ticket: u64, outcome: PermitOutcome) {
+        let Some((workspace, started)) = self.waiting.remove(&(node, ticket)) else {
+            return;
+        };
+        let log = self.logs.entry(workspace).or_default();
+        match outcome {
+            PermitOutcome::Allowed => {
+                log.allowed.push(self.now);
+                log.waits.push(self.now - started);
+            }
+            PermitOutcome::Refused { .. } => log.refused.push(self.now),
+            PermitOutcome::Unavailable => log.unavailable.push(self.now),
+        }
+    }
+
+    /// What the callers of a workspace got.
+    pub fn log(&self, workspace: &str) -> UseLog {
+        self.logs.get(workspace).cloned().unwrap_or_default()
+    }
+
+    /// Asserts that a workspace stayed within its bound.
+    pub fn assert_within_bound(&self, workspace: &str, limit: QuotaLimit) {
+        let most = self.log(workspace).most_in_window();
+        let bound = BOUNDS.bound(limit);
+        assert!(
+            most as f64 <= bound,
+            "{workspace} used {most} permits in a window, its bound is {bound}"
+        );
+    }
+}
+
+/// Limit with a burst of as many requests as the rate has in a second.
+pub fn limit(rate_per_s: f64) -> QuotaLimit {
+    QuotaLimit {
+        rate_per_s,
+        burst: rate_per_s,
+    }
+}
+
+/// Requests of a workspace at some nodes.
+pub fn demand(workspace: &str, rate_per_s: f64, nodes: Vec<usize>) -> Demand {
+    Demand {
+        workspace: workspace.to_owned(),
+        rate_per_s,
+        nodes,
+    }
+}
+
+fn node_name(index: usize) -> String {
+    format!("node-{index}")
+}
+
+fn node_id(index: usize) -> NodeId {
+    NodeId::from_name(&node_name(index))
+}
+
+fn registration(index: usize) -> NodeRegistration {
+    NodeRegistration {
+        name: node_name(index),
+        address: format!("10.0.{}.{}:7000", index / 250, index % 250 + 1),
+        data_centre: CENTRES[index % CENTRES.len()].to_owned(),
+        ..support::registration("a", FIRST_BOOT)
+    }
+}
+
+fn start_core(index: usize, boot: u64) -> MeshCore {
+    let mut settings = support::settings("a");
+    settings.name = node_name(index);
+    settings.data_centre = CENTRES[index % CENTRES.len()].to_owned();
+    settings.peer_address = registration(index).address.parse().expect("an address");
+    settings.quota = Some(BOUNDS);
+    MeshCore::new(settings, boot, NodeCounters::default())
+}
