--- a/crates/sequoiagw-mesh/src/core_quotas.rs
+++ b/crates/sequoiagw-mesh/src/core_quotas.rs
@@ -5,6 +5,7 @@
 
 use rand::Rng;
 use sequoiagw_policy::CounterMandate;
+use sequoiagw_policy::CounterStanding;
 use sequoiagw_policy::PermitOutcome;
 use sequoiagw_policy::PermitTicket;
 use sequoiagw_policy::QuotaAction;
@@ -72,7 +73,7 @@
         let answer = match quota {
             Some(limit) => {
                 let mandate = self.counter_mandate(&request.workspace, now);
-                let Some(quotas) = &mut self.quotas else {
+                let (Some(mandate), Some(quotas)) = (mandate, &mut self.quotas) else {
                     return;
                 };
                 let name = &request.workspace;
@@ -164,26 +165,26 @@
         quotas.cache.next_wake().into_iter().chain(probe).min()
     }
 
-    /// Part of this node in counting a workspace.
-    fn counter_mandate(&mut self, workspace: &str, now: Instant) -> CounterMandate {
+    /// Part of this node in counting a workspace; `None` if quotas are off.
+    fn counter_mandate(&mut self, workspace: &str, now: Instant) -> Option<CounterMandate> {
         let nodes = self.directory.boots().map(|(node, _)| node);
         let first = first_counter(workspace, nodes, |_| false);
+        let running = |node| {
+            let contact = self.calls.entry.last_contact(node);
+            contact.is_some_and(|contact| now < contact + CONTACT_TIMEOUT)
+        };
         let other = first.filter(|node| *node != self.node);
-        let last_contact = other.and_then(|node| self.calls.entry.last_contact(node));
-        let standby = last_contact.is_some_and(|contact| now < contact + CONTACT_TIMEOUT);
+        let substitute = other.map(|node| CounterStanding::Substitute {
+            first_is_running: running(node),
+        });
         let directory = &self.directory;
-        let Some(quotas) = &mut self.quotas else {
-            return CounterMandate {
-                share: 0.0,
-                standby,
-                counting_since: now,
-            };
-        };
-        CounterMandate {
-            share: quotas.mandate(|| directory.recent_counts(), now),
-            standby,
-            counting_since: other.map_or(quotas.counting_since(), |_| now),
-        }
+        let quotas = self.quotas.as_mut()?;
+        Some(CounterMandate {
+            share: quotas.mandate(other.is_some(), || directory.recent_counts(), now),
+            standing: substitute.unwrap_or(CounterStanding::First {
+                since: quotas.counting_since(),
+            }),
+        })
     }
 
     fn run_quota_actions(&mut self, now: Instant) {
--- a/crates/sequoiagw-mesh/src/node_quotas.rs
+++ b/crates/sequoiagw-mesh/src/node_quotas.rs
@@ -79,9 +79,14 @@
         self.counting_since
     }
 
-    /// Part of the rate that this node may grant; `count_nodes` returns the numbers of nodes by data
+    /// Part of the rate that this node may grant, as substitute or as first counter; `count_nodes` returns the numbers of nodes by data
     /// centre.
-    pub(crate) fn mandate<CountNodes>(&mut self, count_nodes: CountNodes, now: Instant) -> f64
+    pub(crate) fn mandate<CountNodes>(
+        &mut self,
+        is_substitute: bool,
+        count_nodes: CountNodes,
+        now: Instant,
+    ) -> f64
     where
         CountNodes: FnOnce() -> BTreeMap<String, usize>,
     {
@@ -92,7 +97,9 @@
                 counts: count_nodes(),
                 at: now,
             });
-        let mandate = self.contacts.mandate(&centre_counts.counts, now);
+        let mandate = self
+            .contacts
+            .mandate(&centre_counts.counts, is_substitute, now);
         self.centre_counts = Some(centre_counts);
         mandate
     }
--- a/crates/sequoiagw-mesh/src/quota_contacts.rs
+++ b/crates/sequoiagw-mesh/src/quota_contacts.rs
@@ -10,11 +10,14 @@
 
 /// Time after the last message from a data centre for which it is in touch.
 const IN_TOUCH_TIME: Duration = Duration::from_millis(1500);
+/// The same for a substitute. That it is asked shows that something has just changed, and the first
+/// counter may still have its whole mandate.
+const SUBSTITUTE_IN_TOUCH_TIME: Duration = Duration::from_millis(600);
 /// Time without a message from a data centre after which a counter there that doesn't answer is taken
 /// to be cut off with all of it.
 const CUT_TIMEOUT: Duration = Duration::from_millis(600);
 /// Interval of probes to nodes that don't answer and data centres from which nothing is heard.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Largest number of unresponsive nodes that are probed at once.
 const MAX_PROBED_NODES: usize = 8;
 
@@ -69,11 +72,6 @@
         self.silent.contains(&node) || self.cut.contains(centre)
     }
 
-    /// Whether a message from a data centre arrived in the last 1.5 s.
-    pub fn is_in_touch(&self, centre: &str, now: Instant) -> bool {
-        self.is_heard(centre, IN_TOUCH_TIME, now)
-    }
-
     fn is_heard(&self, centre: &str, within: Duration, now: Instant) -> bool {
         let heard = self.heard.get(centre);
         heard.is_some_and(|heard| now < *heard + within)
@@ -81,10 +79,20 @@
 
     /// Part of a workspace's rate that this node may grant as counter: the share of the fleet's nodes
     /// that are in data centres in touch. `counts` has the number of nodes by data centre.
-    pub fn mandate(&self, counts: &BTreeMap<String, usize>, now: Instant) -> f64 {
+    pub fn mandate(
+        &self,
+        counts: &BTreeMap<String, usize>,
+        is_substitute: bool,
+        now: Instant,
+    ) -> f64 {
+        let within = if is_substitute {
+            SUBSTITUTE_IN_TOUCH_TIME
+        } else {
+            IN_TOUCH_TIME
+        };
         let all: usize = counts.values().sum();
         let in_touch = counts.iter().map(|(centre, count)| {
-            if self.is_in_touch(centre, now) {
+            if self.is_heard(centre, within, now) {
                 *count
             } else {
                 usize::from(*centre == self.own_centre)
@@ -94,7 +102,7 @@
         reached as f64 / all.max(reached) as f64
     }
 
-    /// Whether probes are due; if so, the next ones are due 0.5 s later.
+    /// Whether probes are due; if so, the next ones are due 0.25 s later.
     pub fn start_probes(&mut self, now: Instant) -> bool {
         let is_due = now >= self.next_probe;
         if is_due {
@@ -127,7 +135,7 @@
         self.silent.retain(|node| is_known(*node));
     }
 
-    /// Data centres among `centres` from which nothing was heard for 0.5 s.
+    /// Data centres among `centres` from which nothing was heard for 0.25 s.
     pub fn unheard<'a>(&self, centres: &'a BTreeSet<String>, now: Instant) -> Vec<&'a str> {
         let unheard = centres.iter().map(String::as_str);
         unheard
--- a/crates/sequoiagw-mesh/tests/quota_fleet/quota_fleet.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/quota_fleet.rs
@@ -84,6 +84,8 @@
     pub frames: usize,
     pub bytes: usize,
     members: Vec<FleetMember>,
+    /// Revision of the store at which registrations were last written.
+    revision: u64,
     /// Timers of the running processes.
     ticks: BTreeSet<(Instant, usize)>,
     by_address: HashMap<NodeAddress, usize>,
@@ -119,6 +121,7 @@
             frames: 0,
             bytes: 0,
             members,
+            revision: 10,
             ticks: BTreeSet::new(),
             by_address: addresses.collect(),
             network: BTreeMap::new(),
@@ -219,10 +222,35 @@
         self.after_event(node);
     }
 
+    /// Lets nodes that are in touch learn each other's registrations, as watchers do.
+    pub fn spread_registrations(&mut self) {
+        self.revision += 1;
+        let now = self.now;
+        for index in 0..self.members.len() {
+            let part = self.members[index].part;
+            let members = self.members.iter().enumerate();
+            let known = members.filter(|(_, member)| member.is_alive && member.part == part);
+            let changes: Vec<RegistrationChange> = known
+                .map(|(node, member)| {
+                    let record = NodeRegistration {
+                        boot: member.core.boot(),
+                        ..registration(node)
+                    };
+                    let revision = record.written_at(self.revision);
+                    RegistrationChange::Written(record, revision)
+                })
+                .collect();
+            let core = &mut self.members[index].core;
+            core.on_registration_changes(&changes, now);
+            self.after_event(index);
+        }
+    }
+
     /// Lets some nodes learn that a node's registration is gone.
     pub fn report_removed(&mut self, node: usize, at: &[usize]) {
         let now = self.now;
-        let revision = registration(node).written_at(6);
+        self.revision += 1;
+        let revision = registration(node).written_at(self.revision);
         let change = RegistrationChange::Removed(node_id(node), revision);
         for index in at {
             let core = &mut self.members[*index].core;
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -85,6 +85,7 @@
 pub use quota_cache::QuotaCache;
 pub use quota_cache::QuotaDecision;
 pub use quota_ledger::CounterMandate;
+pub use quota_ledger::CounterStanding;
 pub use quota_ledger::QuotaAnswer;
 pub use quota_ledger::QuotaLedger;
 pub use quota_limit::QuotaLimit;
--- a/crates/sequoiagw-policy/src/quota_ledger.rs
+++ b/crates/sequoiagw-policy/src/quota_ledger.rs
@@ -20,6 +20,11 @@
 /// Part of the rate at which a bucket refills after its start phase while the node that other
 /// entries ask is known to be running. In 5 s it adds half a second's rate to the sum.
 const STANDBY_SHARE: f64 = 0.1;
+/// Time without a request after which the bucket of a substitute starts anew. Without this, two cuts
+/// shortly after each other broke the bound.
+const SUBSTITUTE_IDLE_TIME: Duration = Duration::from_secs(1);
+/// Tokens that such a bucket keeps.
+const KEPT_TOKENS: f64 = 2.0;
 /// Time without a request after which a bucket is removed.
 const IDLE_RETENTION: Duration = Duration::from_secs(60);
 /// Interval at which idle buckets are looked for.
@@ -36,11 +41,23 @@
 pub struct CounterMandate {
     /// Part of a workspace's rate that this counter may grant, from 0 to 1.
     pub share: f64,
-    /// Whether another node, which is known to be running, comes before this one as counter.
-    pub standby: bool,
-    /// Since when this node has been the counter, as far as it knows; the time of the request if it
-    /// takes over.
-    pub counting_since: Instant,
+    /// Whether this node is the workspace's first counter.
+    pub standing: CounterStanding,
+}
+
+/// Whether a node is the first counter of a workspace, as far as it knows.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CounterStanding {
+    /// It is the first one.
+    First {
+        /// Time from which on it has been so.
+        since: Instant,
+    },
+    /// Another node comes before it, which the entry that asks can't reach.
+    Substitute {
+        /// Whether that node is known to be running, so that it may be granting to others.
+        first_is_running: bool,
+    },
 }
 
 /// Answer to a request for permits.
@@ -97,13 +114,19 @@
         self.remove_idle(now);
         let capacity = (CAPACITY_SHARE * limit.burst.max(self.tolerance)).max(MIN_CAPACITY);
         if !self.buckets.contains_key(workspace) {
-            let started = mandate.counting_since.max(self.valid_since).min(now);
+            let started = match mandate.standing {
+                CounterStanding::First { since } => since.max(self.valid_since).min(now),
+                CounterStanding::Substitute { .. } => now,
+            };
             let bucket = QuotaBucket::new(started);
             self.buckets.insert(workspace.to_owned(), bucket);
         }
         self.buckets
             .get_mut(workspace)
             .map_or(QuotaAnswer::NONE, |bucket| {
+                if matches!(mandate.standing, CounterStanding::Substitute { .. }) {
+                    bucket.restart_if_idle(capacity, now);
+                }
                 bucket.refill(limit, mandate, capacity, now);
                 bucket.take(wanted, bucket.refill_rate(limit, mandate, now))
             })
@@ -157,6 +180,16 @@
         }
     }
 
+    /// Begins a new start phase if the bucket wasn't used for some time, since the first counter has
+    /// probably granted meanwhile. A few tokens stay for workspaces with rare requests.
+    fn restart_if_idle(&mut self, capacity: f64, now: Instant) {
+        if now > self.updated + SUBSTITUTE_IDLE_TIME {
+            self.tokens = self.tokens.min(capacity).min(KEPT_TOKENS);
+            self.started = now;
+            self.updated = now;
+        }
+    }
+
     fn refill(&mut self, limit: QuotaLimit, mandate: CounterMandate, capacity: f64, now: Instant) {
         let start_end = (self.started + START_PHASE).clamp(self.updated, now.max(self.updated));
         let in_start = start_end.saturating_duration_since(self.updated);
@@ -204,9 +237,10 @@
 
 /// Part of the rate at which a bucket refills after its start phase.
 const fn later_share(mandate: CounterMandate) -> f64 {
-    if mandate.standby {
-        STANDBY_SHARE
-    } else {
-        1.0
+    match mandate.standing {
+        CounterStanding::Substitute {
+            first_is_running: true,
+        } => STANDBY_SHARE,
+        CounterStanding::Substitute { .. } | CounterStanding::First { .. } => 1.0,
     }
 }
