--- a/crates/sequoiagw-mesh/src/core_actions.rs
+++ b/crates/sequoiagw-mesh/src/core_actions.rs
@@ -15,6 +15,7 @@
     /// Processes the actions of both state machines and the frames that the node sends to itself
     /// until none are left.
     pub(crate) fn process_actions(&mut self, now: Instant) {
+        self.note_quota_activity(now);
         loop {
             let mut idle = self.process_call_actions(now);
             while let Some(body) = self.loopback_frames.pop_front() {
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -31,6 +31,7 @@
         self.counters.add_frame_bytes(FrameKind::Call, bytes);
         self.calls.entry.on_contact(node, now);
         self.note_quota_contact(node, now);
+        self.note_quota_activity(now);
     }
 
     /// Handles a new link to a node. When the node has restarted, the link shows its new boot
--- a/crates/sequoiagw-mesh/src/core_quotas.rs
+++ b/crates/sequoiagw-mesh/src/core_quotas.rs
@@ -129,8 +129,9 @@
         }
     }
 
-    /// Records that the process is active, and whether it was paused before.
-    fn note_quota_activity(&mut self, now: Instant) {
+    /// Records that the process is active, and whether it was paused before. Ticks alone don't show
+    /// that: they are put off while events arrive in short intervals.
+    pub(crate) fn note_quota_activity(&mut self, now: Instant) {
         let quotas = self.quotas.as_mut();
         if quotas.is_some_and(|quotas| quotas.on_activity(now)) {
             self.counters.count("quota.paused");
--- a/crates/sequoiagw-mesh/tests/fleet/main.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod lost_watchers;
 #[path = "../number_format/mod.rs"]
 mod number_format;
+mod quotas;
 mod restored_store;
 #[path = "../support/mod.rs"]
 mod support;
--- a/crates/sequoiagw-mesh/tests/workspaces/main.rs
+++ b/crates/sequoiagw-mesh/tests/workspaces/main.rs
@@ -2,6 +2,7 @@
 //! versions.
 
 mod caller_keys;
+mod caller_quotas;
 #[path = "../number_format/mod.rs"]
 mod number_format;
 mod served_node;
--- a/crates/sequoiagw-policy/src/quota_ledger.rs
+++ b/crates/sequoiagw-policy/src/quota_ledger.rs
@@ -31,6 +31,9 @@
 const CLEAN_INTERVAL: Duration = Duration::from_secs(10);
 /// Longest part of a retry delay that is due to refused requests of other entries.
 const MAX_BACKLOG_TIME: Duration = Duration::from_secs(1);
+/// Shortest retry delay without permits, so that it isn't rounded to zero, which means that there are
+/// some.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(1);
 /// Longest retry delay.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(60);
 /// Tolerance of comparisons with whole tokens; sums of refills are rounded.
@@ -223,8 +226,9 @@
             let own_wait = (1.0 - self.tokens) / refill_rate;
             let backlog_wait = self.backlog / refill_rate;
             let wait = own_wait + backlog_wait.min(MAX_BACKLOG_TIME.as_secs_f64());
-            Duration::try_from_secs_f64(wait)
-                .map_or(MAX_RETRY_DELAY, |wait| wait.min(MAX_RETRY_DELAY))
+            Duration::try_from_secs_f64(wait).map_or(MAX_RETRY_DELAY, |wait| {
+                wait.clamp(MIN_RETRY_DELAY, MAX_RETRY_DELAY)
+            })
         };
         let max_backlog = refill_rate * MAX_BACKLOG_TIME.as_secs_f64();
         self.backlog = (self.backlog + f64::from(wanted) - granted).min(max_backlog);
