--- a/crates/sequoiagw-mesh/tests/quota_fleet/fleet_faults.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/fleet_faults.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use crate::quota_fleet::demand;
-use crate::quota_fleet::limit;
+use crate::fleet_parts::demand;
+use crate::fleet_parts::limit;
 use crate::quota_fleet::QuotaFleet;
 use crate::use_log::UseLog;
 
--- a/crates/sequoiagw-mesh/tests/quota_fleet/main.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/main.rs
@@ -2,8 +2,10 @@
 //! workspace stays within its bound.
 
 mod bound_property;
+mod fleet_changes;
 mod fleet_faults;
 mod fleet_loads;
+mod fleet_parts;
 mod message_figures;
 mod quota_fleet;
 #[path = "../support/mod.rs"]
--- a/crates/sequoiagw-mesh/tests/quota_fleet/message_figures.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/message_figures.rs
@@ -2,9 +2,9 @@
 
 use std::time::Duration;
 
-use crate::quota_fleet::demand;
-use crate::quota_fleet::limit;
-use crate::quota_fleet::Demand;
+use crate::fleet_parts::demand;
+use crate::fleet_parts::limit;
+use crate::fleet_parts::Demand;
 use crate::quota_fleet::QuotaFleet;
 
 /// Workspaces of the customer.
--- a/crates/sequoiagw-mesh/tests/quota_fleet/quota_fleet.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/quota_fleet.rs
@@ -14,58 +14,41 @@
 use sequoiagw_mesh::KeyedWorkspace;
 use sequoiagw_mesh::MeshAction;
 use sequoiagw_mesh::MeshCore;
-use sequoiagw_mesh::MeshSettings;
 use sequoiagw_mesh::NodeRegistration;
-use sequoiagw_mesh::QuotaSettings;
-use sequoiagw_mesh::RegistrationChange;
 use sequoiagw_mesh::Workspace;
-use sequoiagw_node::NodeCounters;
 use sequoiagw_policy::PermitOutcome;
 use sequoiagw_policy::QuotaDecision;
 use sequoiagw_policy::QuotaLimit;
 use sequoiagw_protocol::NodeAddress;
-use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::PeerFrame;
 use sequoiagw_store::StoreEra;
 use tokio::time::Instant;
 
+use crate::fleet_parts::node_id;
+use crate::fleet_parts::registration;
+use crate::fleet_parts::start_core;
+use crate::fleet_parts::Demand;
+use crate::fleet_parts::BOUNDS;
+use crate::fleet_parts::CENTRES;
+use crate::fleet_parts::FIRST_BOOT;
 use crate::support;
 use crate::use_log::UseLog;
 
-/// Data centres, to which nodes belong in turn.
-const CENTRES: [&str; 3] = ["north", "east", "west"];
 /// Time from one node to another of the same data centre, and of another one.
 const LOCAL_LATENCY: Duration = Duration::from_micros(300);
 const REMOTE_LATENCY: Duration = Duration::from_micros(1700);
-/// Boot of the first process of each node.
-const FIRST_BOOT: u64 = 1;
 /// Longest time between two ticks of a node.
 const MAX_TICK_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Bounds of the quotas.
-pub const BOUNDS: QuotaSettings = QuotaSettings {
-    window: Duration::from_secs(5),
-    overrun: 0.1,
-    tolerance: 20.0,
-};
-
-/// Requests of a workspace's callers, spread over some nodes.
-#[derive(Clone, Debug)]
-pub struct Demand {
-    pub workspace: String,
-    pub rate_per_s: f64,
-    pub nodes: Vec<usize>,
-}
-
-struct FleetMember {
-    core: MeshCore,
-    is_alive: bool,
-    is_paused: bool,
+pub struct FleetMember {
+    pub core: MeshCore,
+    pub is_alive: bool,
+    pub is_paused: bool,
     /// Part of the fleet that the node is in touch with.
-    part: usize,
+    pub part: usize,
     /// Frames that arrived while the process was paused.
-    unread: Vec<PeerFrame>,
-    next_tick: Instant,
+    pub unread: Vec<PeerFrame>,
+    pub next_tick: Instant,
 }
 
 struct Delivery {
@@ -82,15 +65,15 @@
     /// Frames sent, and their encoded bytes.
     pub frames: usize,
     pub bytes: usize,
-    members: Vec<FleetMember>,
+    pub members: Vec<FleetMember>,
     /// Revision of the store at which registrations were last written.
-    revision: u64,
+    pub revision: u64,
     /// Timers of the running processes.
     ticks: BTreeSet<(Instant, usize)>,
     by_address: HashMap<NodeAddress, usize>,
     network: BTreeMap<(Instant, u64), Delivery>,
-    sent: u64,
-    waiting: HashMap<(usize, u64), (String, Instant)>,
+    pub sent: u64,
+    pub waiting: HashMap<(usize, u64), (String, Instant)>,
 }
 
 impl QuotaFleet {
@@ -182,109 +165,6 @@
         position.expect("a counter")
     }
 
-    /// Cuts nodes off from those of other parts; all nodes are in part 0 at first.
-    pub fn set_part(&mut self, nodes: &[usize], part: usize) {
-        for node in nodes {
-            self.members[*node].part = part;
-        }
-    }
-
-    /// Ends a node's process.
-    pub fn kill(&mut self, node: usize) {
-        self.members[node].is_alive = false;
-        self.waiting.retain(|(entry, _), _| *entry != node);
-    }
-
-    /// Starts a new process at a node.
-    pub fn restart(&mut self, node: usize) {
-        let size = self.members.len();
-        let mut core = start_core(node, FIRST_BOOT + 1_000_000 + self.sent);
-        let stored = (0..size).map(registration).map(|record| {
-            let revision = record.written_at(5);
-            (record, revision)
-        });
-        core.on_registrations(stored.collect(), StoreEra::default(), self.now);
-        let version = self
-            .members
-            .iter()
-            .find_map(|member| member.core.active_version().cloned());
-        if let Some(version) = version {
-            core.activate_from_store(&version, self.now);
-        }
-        core.take_actions();
-        let member = &mut self.members[node];
-        member.core = core;
-        member.is_alive = true;
-        member.is_paused = false;
-        member.unread.clear();
-        self.after_event(node);
-    }
-
-    /// Lets nodes that are in touch learn each other's registrations, as watchers do.
-    pub fn spread_registrations(&mut self) {
-        self.revision += 1;
-        let now = self.now;
-        for index in 0..self.members.len() {
-            let part = self.members[index].part;
-            let members = self.members.iter().enumerate();
-            let known = members.filter(|(_, member)| member.is_alive && member.part == part);
-            let changes: Vec<RegistrationChange> = known
-                .map(|(node, member)| {
-                    let record = NodeRegistration {
-                        boot: member.core.boot(),
-                        ..registration(node)
-                    };
-                    let revision = record.written_at(self.revision);
-                    RegistrationChange::Written(record, revision)
-                })
-                .collect();
-            let core = &mut self.members[index].core;
-            core.on_registration_changes(&changes, now);
-            self.after_event(index);
-        }
-    }
-
-    /// Lets some nodes learn that a node's registration is gone.
-    pub fn report_removed(&mut self, node: usize, at: &[usize]) {
-        let now = self.now;
-        self.revision += 1;
-        let revision = registration(node).written_at(self.revision);
-        let change = RegistrationChange::Removed(node_id(node), revision);
-        for index in at {
-            let core = &mut self.members[*index].core;
-            core.on_registration_changes(std::slice::from_ref(&change), now);
-            self.after_event(*index);
-        }
-    }
-
-    /// Stops a process; what it receives is read when it wakes.
-    pub fn pause(&mut self, node: usize) {
-        self.members[node].is_paused = true;
-    }
-
-    /// Wakes a process that was stopped. It reads what it received before it notices the time.
-    pub fn wake(&mut self, node: usize) {
-        self.members[node].is_paused = false;
-        for frame in std::mem::take(&mut self.members[node].unread) {
-            let now = self.now;
-            self.members[node].core.on_frame(frame, 50, now);
-            self.after_event(node);
-        }
-        self.after_event(node);
-    }
-
-    /// Lets all nodes' calls to the store fail.
-    pub fn set_store_failing(&mut self) {
-        for member in &mut self.members {
-            member.core.set_store_failing(true);
-        }
-    }
-
-    /// Whether a node's process runs.
-    pub fn is_alive(&self, node: usize) -> bool {
-        self.members[node].is_alive
-    }
-
     /// Lets callers send requests for a time.
     pub fn run(&mut self, time: Duration, demands: &[Demand]) {
         let end = self.now + time;
@@ -379,7 +259,7 @@
     }
 
     /// Carries out a node's actions and updates its timer.
-    fn after_event(&mut self, node: usize) {
+    pub fn after_event(&mut self, node: usize) {
         let now = self.now;
         for action in self.members[node].core.take_actions() {
             match action {
@@ -448,49 +328,3 @@
         );
     }
 }
-
-/// Limit with a burst of as many requests as the rate has in a second.
-pub fn limit(rate_per_s: f64) -> QuotaLimit {
-    QuotaLimit {
-        rate_per_s,
-        burst: rate_per_s,
-    }
-}
-
-/// Requests of a workspace at some nodes.
-pub fn demand(workspace: &str, rate_per_s: f64, nodes: Vec<usize>) -> Demand {
-    Demand {
-        workspace: workspace.to_owned(),
-        rate_per_s,
-        nodes,
-    }
-}
-
-fn node_name(index: usize) -> String {
-    format!("node-{index}")
-}
-
-fn node_id(index: usize) -> NodeId {
-    NodeId::from_name(&node_name(index))
-}
-
-fn registration(index: usize) -> NodeRegistration {
-    NodeRegistration {
-        name: node_name(index),
-        address: format!("10.0.{}.{}:7000", index / 250, index % 250 + 1),
-        data_centre: CENTRES[index % CENTRES.len()].to_owned(),
-        ..support::registration("a", FIRST_BOOT)
-    }
-}
-
-fn start_core(index: usize, boot: u64) -> MeshCore {
-    let peer_address = registration(index).address.parse();
-    let settings = MeshSettings {
-        name: node_name(index),
-        data_centre: CENTRES[index % CENTRES.len()].to_owned(),
-        peer_address: peer_address.expect("an address"),
-        quota: Some(BOUNDS),
-        ..support::settings("a")
-    };
-    MeshCore::new(settings, boot, NodeCounters::default())
-}
