Quotas: a request that doesn't wait for a permit keeps its exact timeout

The time from arrival to the call, some microseconds, was taken off every timeout, also where quotas are off. A timeout of exactly 200 ms was then below the limit from which a margin is kept for the owner's answer: the backend server was given 198 ms instead of 180 ms.

--- a/crates/sequoiagw-mesh/src/caller_server.rs
+++ b/crates/sequoiagw-mesh/src/caller_server.rs
@@ -149,7 +149,10 @@
                 return self.refuse_permit(refusal, workspace, &request_id, &route.name);
             }
         }
-        let timeout = timeout.saturating_sub(arrival.elapsed());
+        // Whole milliseconds: the timeout of a request that didn't wait stays exact, since a call of
+        // just under 200 ms is sent to its owner without a margin for the answer.
+        let permit_wait = Duration::from_millis(arrival.elapsed().as_millis() as u64);
+        let timeout = timeout.saturating_sub(permit_wait);
         let spec = CallSpec {
             level: access.level(&route),
             ..self.call_spec(&route, caller_timeout, timeout)
--- a/crates/sequoiagw-mesh/tests/workspaces/caller_quotas.rs
+++ b/crates/sequoiagw-mesh/tests/workspaces/caller_quotas.rs
@@ -9,6 +9,7 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
+use crate::number_format::HEADERS;
 use crate::served_node::ServedNode;
 use crate::support::settings;
 use crate::workspace_version::version;
@@ -94,3 +95,21 @@
     })
     .await;
 }
+
+/// Guards against a timeout that is shortened by rounding: at 200 ms the entry would no longer keep a
+/// margin for the answer.
+#[tokio::test]
+async fn timeout_of_a_request_that_does_not_wait_for_a_permit_is_kept() {
+    run_with_node(None, |node| async move {
+        let headers = [SLOW_KEY, (HEADERS.deadline, "200")];
+        assert_eq!(node.status("/order/1", &headers).await, 200);
+        let heads = node.take_heads().concat().to_lowercase();
+        let name = format!("{}:", HEADERS.deadline.to_lowercase());
+        let line = heads.lines().find_map(|line| line.strip_prefix(&name));
+        let time_left: u64 = line
+            .and_then(|text| text.trim().parse().ok())
+            .expect("a time");
+        assert!(time_left <= 180, "{time_left} ms");
+    })
+    .await;
+}
