--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -107,6 +107,7 @@
         }
         self.known_boots = boots;
         self.update_targets(now);
+        self.update_quota_members(now);
         let node_count = self.directory.len().max(1) as f64;
         let extra_retries =
             self.settings.retry_budget.extra_per_window * EXTRA_RETRIES_FRACTION / node_count;
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -25,6 +25,7 @@
 use sequoiagw_store::StoreEra;
 use tokio::time::Instant;
 
+use crate::node_quotas::NodeQuotas;
 use crate::node_rollouts::NodeRollouts;
 use crate::DepartureHolders;
 use crate::DepartureList;
@@ -74,6 +75,8 @@
     pub(crate) previous_versions: VecDeque<Rc<MeshVersion>>,
     pub(crate) traffic_splitter: TrafficSplitter,
     pub(crate) refused_callers: RefusedCallers,
+    /// `None` if workspaces have no quotas here.
+    pub(crate) quotas: Option<NodeQuotas>,
     pub(crate) watchers: WatcherMonitor,
     /// Whether this node was a watcher as of the last change of the directory.
     pub(crate) was_watcher: bool,
@@ -108,6 +111,9 @@
         let entry_rng = ChaCha8Rng::seed_from_u64(rng.random());
         let backend = &settings.backend;
         let address = backend.address.to_string();
+        let quotas = settings
+            .quota
+            .map(|quota| NodeQuotas::new(quota, &settings.data_centre, boot, Instant::now()));
         Self {
             node,
             boot,
@@ -125,6 +131,7 @@
             previous_versions: VecDeque::new(),
             traffic_splitter: TrafficSplitter::default(),
             refused_callers: RefusedCallers::default(),
+            quotas,
             watchers: WatcherMonitor::with_startup_grace(Instant::now()),
             was_watcher: false,
             known_boots: HashMap::new(),
@@ -303,6 +310,7 @@
         self.calls.on_tick(now);
         self.send_crash_news(now);
         self.departure_recovery.on_tick(now);
+        self.tick_quotas(now);
         self.update_slot_offer(now);
         let entry = &self.calls.entry;
         if self.directory.expire(now, |node| entry.last_contact(node)) {
@@ -325,6 +333,7 @@
             self.departure_recovery.next_wake(),
             self.directory.next_expiry(now),
             self.next_rollout_wake(now),
+            self.quota_wake(now),
         ];
         times.into_iter().flatten().min()
     }
--- a/crates/sequoiagw-mesh/tests/fleet/main.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/main.rs
@@ -8,6 +8,7 @@
 mod lost_watchers;
 #[path = "../number_format/mod.rs"]
 mod number_format;
+mod quotas;
 mod restored_store;
 mod rollout_backend;
 mod rollout_faults;
--- a/crates/sequoiagw-mesh/tests/support/mod.rs
+++ b/crates/sequoiagw-mesh/tests/support/mod.rs
@@ -48,6 +48,7 @@
             extra_per_window: 50.0,
         },
         rollout: None,
+        quota: None,
     }
 }
 
