--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -8,4 +8,11 @@
   echo "build first: cargo build --release --locked, then review/build-2.sh"
   exit 2
 fi
-exec "$program" "$root" "$folder"
+# The case and the nodes that it starts are a process group of their own, which ends with this script.
+set -m
+"$program" "$root" "$folder" &
+group=$!
+trap 'kill -KILL -- "-$group" 2>/dev/null' EXIT
+trap 'exit 2' INT TERM
+wait "$group"
+exit $?
--- a/review/harness-2/record.rs
+++ b/review/harness-2/record.rs
@@ -39,6 +39,6 @@
 
 /// Adds a line to the record and prints it.
 pub fn say(text: &str) {
-    println!("{text}");
+    let _ = writeln!(std::io::stdout(), "{text}");
     line(text);
 }
