--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -38,6 +38,7 @@
             ("side-a-1", "eun-a", "catalog"),
             ("side-b-1", "eun-b", "orders"),
             ("side-c-1", "eun-c", "orders"),
+            ("side-b-2", "eun-b", "orders"),
         ],
         contracts: &[],
         config: CONFIG,
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -22,8 +22,8 @@
 const TENANT_KEY: &str = "kmgjqnirth5mgjy5rcpi";
 /// A key that no configuration ever holds.
 const UNKNOWN_KEY: &str = "zz00neverheld00zz000";
-/// `configPropagationMs` of the deployment, and half a second.
-const IN_FORCE: Duration = Duration::from_millis(2500);
+/// `configPropagationMs` of the deployment, 2.5 s, and half a second.
+const IN_FORCE: Duration = Duration::from_millis(3000);
 /// Requests with each key after the change.
 const REQUESTS: usize = 10;
 
