A leave notice concerns the start of the backend server that it names

Cause: the body of a leave notice wasn't read. A notice was applied to whichever start of the instance the node knew. If the backend server had restarted under its instance name and its first heartbeat was late, that was the crashed start; the late heartbeat then looked like a start that hadn't left. Without a known start the notice was compared by this host's clock. Ruled out: that the notice was forgotten (the same process believed the heartbeat 1.4 s later).

Change: the notice names a start, or none, and concerns that start only. A later one than the known one takes the known one out of use. After a notice without a start a single heartbeat isn't believed; two, half an interval apart, are, since one that was delayed isn't followed by another. backend_leaves logs both starts.

Test leave_notice_before_first_heartbeat_applies_to_late_heartbeats stated the comparison with the host's clock; its replacement believes no start at once.

--- a/crates/sequoiagw-mesh/src/core_target.rs
+++ b/crates/sequoiagw-mesh/src/core_target.rs
@@ -12,6 +12,7 @@
 use crate::HeartbeatOutcome;
 use crate::MeshAction;
 use crate::MeshCore;
+use crate::TargetIncarnation;
 
 /// Calls that may wait in a target's queue for each of its slots.
 const QUEUED_CALLS_PER_SLOT: u32 = 20;
@@ -74,10 +75,9 @@
         self.process_actions(now);
     }
 
-    /// Handles a leave notice of the backend server; `unix_ms` is the time at which the notice
-    /// arrived, by the host's clock.
-    pub fn on_leave_notice(&mut self, instance: &str, unix_ms: u64, now: Instant) {
-        self.target.on_leave_notice(instance, unix_ms);
+    /// Handles the leave notice of an incarnation of the backend server.
+    pub fn on_leave_notice(&mut self, departing: TargetIncarnation, now: Instant) {
+        self.target.on_leave_notice(departing);
         self.share_departure(now);
         self.update_slot_offer(now);
     }
--- a/crates/sequoiagw-mesh/src/departure_list.rs
+++ b/crates/sequoiagw-mesh/src/departure_list.rs
@@ -9,20 +9,48 @@
 /// instance too.
 #[derive(Clone, Debug, Default)]
 pub struct DepartureList {
+    /// Those learnt from others first, in the order of their starts, then the recorded ones in the order
+    /// in which they departed.
     departures: Vec<TargetIncarnation>,
+    /// Number of departures learnt from others.
+    restored: usize,
 }
 
 impl DepartureList {
-    /// Adds an incarnation. Of too many, the one that started first is forgotten.
+    /// Adds an incarnation that departs now. Of too many, the first is forgotten.
     pub fn record(&mut self, incarnation: TargetIncarnation) {
         if self.includes(&incarnation) {
             return;
         }
-        self.departures.retain(|known| !incarnation.includes(known));
+        self.remove_included(&incarnation);
         self.departures.push(incarnation);
-        self.departures.sort_by_key(|departure| departure.born_ms);
+        self.trim();
+    }
+
+    /// Adds an incarnation of which others remember that it departed, before those recorded here. Of
+    /// too many, the first is forgotten.
+    pub fn restore(&mut self, incarnation: TargetIncarnation) {
+        if self.includes(&incarnation) {
+            return;
+        }
+        self.remove_included(&incarnation);
+        let restored = &self.departures[..self.restored];
+        let index = restored.partition_point(|known| known.born_ms <= incarnation.born_ms);
+        self.departures.insert(index, incarnation);
+        self.restored += 1;
+        self.trim();
+    }
+
+    fn remove_included(&mut self, incarnation: &TargetIncarnation) {
+        let restored = self.departures[..self.restored].iter();
+        self.restored -= restored.filter(|known| incarnation.includes(known)).count();
+        self.departures.retain(|known| !incarnation.includes(known));
+    }
+
+    fn trim(&mut self) {
         if self.departures.len() > MAX_DEPARTURES {
             self.departures.remove(0);
+            self.restored = self.restored.saturating_sub(1);
         }
     }
 
@@ -33,12 +61,18 @@
             .any(|departure| departure.includes(incarnation))
     }
 
-    /// The incarnation that started last.
+    /// Whether an incarnation of the instance departed whose start isn't known.
+    pub fn has_unknown_start(&self, instance: &str) -> bool {
+        let mut departures = self.departures.iter();
+        departures.any(|departure| departure.instance == instance && !departure.has_known_start())
+    }
+
+    /// The incarnation that departed last.
     pub fn latest(&self) -> Option<&TargetIncarnation> {
         self.departures.last()
     }
 
-    /// All incarnations, in the order of their starts.
+    /// All incarnations, the latest last.
     pub fn iter(&self) -> impl Iterator<Item = &TargetIncarnation> {
         self.departures.iter()
     }
--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -30,6 +30,7 @@
 mod follower_config;
 mod follower_registrations;
 mod follower_rollouts;
+mod heartbeat_evidence;
 mod leave_plan;
 mod local_server;
 mod mesh_action;
--- a/crates/sequoiagw-mesh/src/local_server.rs
+++ b/crates/sequoiagw-mesh/src/local_server.rs
@@ -2,8 +2,6 @@
 
 use std::fmt::Write;
 use std::time::Duration;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use sequoiagw_http::serve_connection;
 use sequoiagw_http::BufferBudget;
@@ -82,10 +80,19 @@
             }
             LocalRequest::Readiness => HttpReply::empty(503),
             LocalRequest::Heartbeat(heartbeat) => self.handle_heartbeat(&heartbeat).await,
-            LocalRequest::LeaveNotice(instance) => {
-                info!(event = "backend_leaves", instance = %instance);
+            LocalRequest::LeaveNotice(departing) => {
+                let current = self
+                    .handle
+                    .read(|core| core.target().incarnation().cloned());
+                info!(
+                    event = "backend_leaves",
+                    instance = %departing.instance,
+                    born_ms = departing.born_ms,
+                    current = current.as_ref().map(|current| current.instance.as_str()),
+                    current_born_ms = current.as_ref().map(|current| current.born_ms),
+                );
                 self.handle
-                    .with_core(|core, now| core.on_leave_notice(&instance, unix_ms(), now));
+                    .with_core(|core, now| core.on_leave_notice(departing, now));
                 self.acknowledge_departure().await
             }
             LocalRequest::Other(reply) => reply,
@@ -146,9 +153,3 @@
         }
     }
 }
-
-/// Current Unix time in milliseconds; backend servers on the same host read the same clock.
-fn unix_ms() -> u64 {
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    since_epoch.map_or(0, |elapsed| elapsed.as_millis() as u64)
-}
--- a/crates/sequoiagw-mesh/src/platform_format.rs
+++ b/crates/sequoiagw-mesh/src/platform_format.rs
@@ -10,6 +10,7 @@
 use crate::Heartbeat;
 use crate::MeshVersion;
 use crate::RolloutOrder;
+use crate::TargetIncarnation;
 
 /// Names of the headers that a node reads and sets.
 #[derive(Clone, Copy, Debug)]
@@ -45,8 +46,8 @@
     Metrics,
     /// Heartbeat of the backend server.
     Heartbeat(Box<Heartbeat>),
-    /// Leave notice of the backend process with this instance name.
-    LeaveNotice(String),
+    /// Leave notice of an incarnation of the backend server.
+    LeaveNotice(TargetIncarnation),
     /// Any other request, with the reply to send.
     Other(HttpReply),
 }
--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::heartbeat_evidence::HeartbeatEvidence;
 use crate::node_registration::MAX_BACKEND_SLOTS;
 use crate::DepartureList;
 
@@ -66,6 +67,12 @@
         ServerProcess(xxh3_64_with_seed(self.instance.as_bytes(), self.born_ms))
     }
 
+    /// Whether the start is known. An incarnation whose start isn't known stands for any start of its
+    /// instance.
+    pub fn has_known_start(&self) -> bool {
+        self.born_ms != 0
+    }
+
     /// Whether another incarnation is this one, or an earlier one of the same instance.
     pub fn includes(&self, other: &Self) -> bool {
         self.instance == other.instance && other.born_ms <= self.born_ms
@@ -103,6 +110,22 @@
     heartbeats: u32,
     last_heartbeat: Instant,
     heartbeat_deadline: Instant,
+    evidence: HeartbeatEvidence,
+    /// Whether this incarnation may be one that has left or ended, so that a single heartbeat doesn't
+    /// show that it is running.
+    is_doubtful: bool,
+}
+
+impl CurrentIncarnation {
+    /// Takes the incarnation out of use until further heartbeats show that it is running.
+    fn withdraw(&mut self) {
+        self.evidence = HeartbeatEvidence::default();
+        self.is_doubtful = true;
+    }
+
+    fn is_believed(&self) -> bool {
+        !self.is_doubtful || self.evidence.is_sufficient()
+    }
 }
 
 /// How a heartbeat was handled.
@@ -124,8 +147,7 @@
     address: String,
     heartbeat_interval: Duration,
     current: Option<CurrentIncarnation>,
-    /// Incarnations that have left. If the leave notice arrived before any heartbeat of its instance,
-    /// `born_ms` is the time of the notice.
+    /// Incarnations that have left.
     departed: DepartureList,
 }
 
@@ -147,8 +169,10 @@
     pub fn restore_departed(&mut self, incarnation: TargetIncarnation) {
         if let Some(current) = &mut self.current {
             current.leaving |= incarnation.includes(&current.incarnation);
+            let same_instance = current.incarnation.instance == incarnation.instance;
+            current.is_doubtful |= same_instance && !incarnation.has_known_start();
         }
-        self.departed.record(incarnation);
+        self.departed.restore(incarnation);
     }
 
     /// Handles a heartbeat. Within an incarnation the highest sequence number wins, and among
@@ -182,34 +206,49 @@
             None => self.departed.includes(&incarnation),
         };
         let heartbeats = known.map_or(0, |current| current.heartbeats) + 1;
+        let is_doubtful = match known {
+            Some(current) => current.is_doubtful,
+            None => self.departed.has_unknown_start(&incarnation.instance),
+        };
+        let mut evidence =
+            known.map_or_else(HeartbeatEvidence::default, |current| current.evidence);
+        evidence.add(now, self.heartbeat_interval);
+        let leaving = was_leaving || heartbeat.phase == HeartbeatPhase::Draining;
+        if leaving && !was_leaving {
+            self.departed.record(incarnation.clone());
+        }
         self.current = Some(CurrentIncarnation {
             incarnation,
             sequence: heartbeat.sequence,
             slots: heartbeat.slots,
-            leaving: was_leaving || heartbeat.phase == HeartbeatPhase::Draining,
+            leaving,
             version: heartbeat.version.clone(),
             warm_up_end: now + heartbeat.warmup_left,
             heartbeats,
             last_heartbeat: now,
             heartbeat_deadline: now + self.heartbeat_interval * HEARTBEAT_TIMEOUT_INTERVALS,
+            evidence,
+            is_doubtful,
         });
         HeartbeatOutcome::Accepted
     }
 
-    /// Handles a leave notice that arrived at a time in Unix milliseconds, by the host's clock.
+    /// Handles a leave notice of an incarnation, of which no heartbeat may have arrived yet.
     ///
-    /// Before the first heartbeat of the instance the notice doesn't show which incarnation it concerns.
-    /// It then applies to all incarnations of the instance that started up to that time.
-    pub fn on_leave_notice(&mut self, instance: &str, unix_ms: u64) {
-        match &mut self.current {
-            Some(current) if current.incarnation.instance == instance => current.leaving = true,
-            _ => {
-                self.departed.record(TargetIncarnation {
-                    instance: instance.to_owned(),
-                    born_ms: unix_ms,
-                });
+    /// If it started after the current incarnation of the instance, that one has ended and is taken out
+    /// of use. A notice that names no start concerns the current incarnation, and it may concern one that
+    /// isn't known yet: a single heartbeat of another start isn't believed.
+    pub fn on_leave_notice(&mut self, departing: TargetIncarnation) {
+        let current = self.current.as_mut();
+        let current = current.filter(|current| current.incarnation.instance == departing.instance);
+        if let Some(current) = current {
+            if departing == current.incarnation || !departing.has_known_start() {
+                current.leaving = true;
+            } else if !current.incarnation.includes(&departing) {
+                current.withdraw();
             }
         }
+        self.departed.record(departing);
     }
 
     /// Handles a response in which the current incarnation says that it is leaving; returns whether
@@ -219,6 +258,8 @@
             return false;
         };
         current.leaving = true;
+        let incarnation = current.incarnation.clone();
+        self.departed.record(incarnation);
         true
     }
 
@@ -243,7 +284,7 @@
     /// Incarnation that accepts requests, with its slots.
     pub fn serving(&self, now: Instant) -> Option<(&TargetIncarnation, u32)> {
         let current = self.current.as_ref()?;
-        let serves = !current.leaving && now < current.heartbeat_deadline;
+        let serves = !current.leaving && current.is_believed() && now < current.heartbeat_deadline;
         serves.then_some((&current.incarnation, current.slots))
     }
 
--- a/crates/sequoiagw-mesh/tests/fleet/restored_store.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/restored_store.rs
@@ -9,6 +9,7 @@
 use sequoiagw_mesh::MeshCore;
 use sequoiagw_mesh::MeshHandle;
 use sequoiagw_mesh::NodeRegistration;
+use sequoiagw_mesh::TargetIncarnation;
 use sequoiagw_mesh::NODES_PREFIX;
 use sequoiagw_protocol::NodeId;
 use tokio::task::LocalSet;
@@ -36,6 +37,7 @@
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(500);
 /// Identity of a backend server's process.
 const INSTANCE: &str = "press-1";
+const BORN_MS: u64 = 1;
 
 /// Everything that may become of polls.
 const ALL_POLLS: [WaitingPolls; 3] = [WaitingPolls::Cut, WaitingPolls::Lost, WaitingPolls::Kept];
@@ -95,9 +97,13 @@
     /// Lets a backend server leave; it sends its node a leave notice and no more heartbeats.
     fn leave(&self, name: &str) {
         self.backend(name).slots.set(0);
+        let departing = TargetIncarnation {
+            instance: INSTANCE.to_owned(),
+            born_ms: BORN_MS,
+        };
         self.nodes[index(name)]
             .handle
-            .with_core(|core, now| core.on_leave_notice(INSTANCE, 1, now));
+            .with_core(|core, now| core.on_leave_notice(departing, now));
     }
 
     /// Registration of a node in the store.
@@ -156,7 +162,7 @@
         self.sequence.set(self.sequence.get() + 1);
         let heartbeat = Heartbeat {
             instance: INSTANCE.to_owned(),
-            born_ms: Some(1),
+            born_ms: Some(BORN_MS),
             sequence: self.sequence.get(),
             service: "press".to_owned(),
             address: "127.0.0.1:0".to_owned(),
--- a/crates/sequoiagw-mesh/tests/mesh_core.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core.rs
@@ -413,6 +413,13 @@
     assert!((2048..=8192 + 512 * 60).contains(&sent), "{sent} records");
 }
 
+fn incarnation(instance: &str, born_ms: u64) -> TargetIncarnation {
+    TargetIncarnation {
+        instance: instance.to_owned(),
+        born_ms,
+    }
+}
+
 fn own_heartbeat(core: &MeshCore, instance: &str, born_ms: u64) -> Heartbeat {
     Heartbeat {
         instance: instance.to_owned(),
@@ -447,7 +454,7 @@
     let mut first = starting_core("a", BOOT, &["a", "b"], now);
     let heartbeat = own_heartbeat(&first, "press-1", 10);
     first.on_heartbeat(&heartbeat, now);
-    first.on_leave_notice("press-1", 50, now);
+    first.on_leave_notice(incarnation("press-1", 10), now);
     let mut cores = [("a", first), ("b", core_with("b", &["a", "b"], now))];
     deliver_frames(&mut cores, now);
     let [_, (_, holder)] = cores;
@@ -485,16 +492,13 @@
     let mut first = starting_core("a", BOOT, &["a", "b"], now);
     let heartbeat = own_heartbeat(&first, "press-2", 20);
     first.on_heartbeat(&heartbeat, now);
-    first.on_leave_notice("press-2", 50, now);
+    first.on_leave_notice(incarnation("press-2", 20), now);
     let mut cores = [("a", first), ("b", core_with("b", &["a", "b"], now))];
     deliver_frames(&mut cores, now);
     let [_, (_, holder)] = cores;
     // The store came back from a copy that names the departure before.
     let mut own = registration("a", BOOT);
-    own.leaving = Some(TargetIncarnation {
-        instance: "press-1".to_owned(),
-        born_ms: 10,
-    });
+    own.leaving = Some(incarnation("press-1", 10));
     let mut second = MeshCore::new(settings("a"), BOOT + 1, NodeCounters::default());
     let registrations = vec![stored(own), stored(registration("b", BOOT))];
     second.on_registrations(registrations, StoreEra::default(), now);
--- a/crates/sequoiagw-mesh/tests/target_monitor.rs
+++ b/crates/sequoiagw-mesh/tests/target_monitor.rs
@@ -29,6 +29,13 @@
     }
 }
 
+fn incarnation(instance: &str, born_ms: u64) -> TargetIncarnation {
+    TargetIncarnation {
+        instance: instance.to_owned(),
+        born_ms,
+    }
+}
+
 #[test]
 fn late_heartbeat_does_not_revive_leaving_backend() {
     let now = Instant::now();
@@ -70,10 +77,7 @@
 fn incarnation_that_left_before_node_restart_stays_unused() {
     let now = Instant::now();
     let mut monitor = new_monitor();
-    monitor.restore_departed(TargetIncarnation {
-        instance: "a".to_owned(),
-        born_ms: 10,
-    });
+    monitor.restore_departed(incarnation("a", 10));
     monitor.on_heartbeat(&heartbeat("a", 10, 5, HeartbeatPhase::Ready), now);
     assert!(monitor.serving(now).is_none());
 }
@@ -112,29 +116,121 @@
     let now = Instant::now();
     let mut monitor = new_monitor();
     monitor.on_heartbeat(&heartbeat("a", 10, 1, HeartbeatPhase::Ready), now);
-    monitor.on_leave_notice("another", 20);
+    monitor.on_leave_notice(incarnation("another", 20));
     assert!(monitor.serving(now).is_some());
-    monitor.on_leave_notice("a", 20);
+    monitor.on_leave_notice(incarnation("a", 10));
     assert!(monitor.serving(now).is_none());
 }
 
+/// DRAIN: the notice of a start that was told first by its leave notice was applied to the start before,
+/// and a late heartbeat put the backend server in use again.
+#[test]
+fn leave_notice_concerns_the_start_that_it_names() {
+    let now = Instant::now();
+    let mut monitor = new_monitor();
+    monitor.on_heartbeat(&heartbeat("a", 10, 4, HeartbeatPhase::Ready), now);
+    monitor.on_leave_notice(incarnation("a", 20));
+    assert!(monitor.serving(now).is_none(), "the start before has ended");
+    assert_eq!(monitor.latest_departure(), Some(&incarnation("a", 20)));
+    monitor.on_heartbeat(&heartbeat("a", 20, 1, HeartbeatPhase::Ready), now);
+    monitor.on_heartbeat(&heartbeat("a", 20, 2, HeartbeatPhase::Ready), now);
+    let later = now + HEARTBEAT_INTERVAL;
+    monitor.on_heartbeat(&heartbeat("a", 20, 3, HeartbeatPhase::Ready), later);
+    assert!(monitor.serving(later).is_none());
+    monitor.on_heartbeat(&heartbeat("a", 30, 1, HeartbeatPhase::Ready), later);
+    assert!(monitor.serving(later).is_some(), "a later start is in use");
+}
+
+/// A notice of an earlier start that was delayed must not take the present one out of use.
+#[test]
+fn late_leave_notice_of_an_earlier_start_leaves_the_present_one_in_use() {
+    let now = Instant::now();
+    let mut monitor = new_monitor();
+    monitor.on_heartbeat(&heartbeat("a", 10, 4, HeartbeatPhase::Ready), now);
+    monitor.on_heartbeat(&heartbeat("a", 20, 1, HeartbeatPhase::Ready), now);
+    monitor.on_leave_notice(incarnation("a", 10));
+    assert!(monitor.serving(now).is_some());
+}
+
+/// The start that a notice names may be later by a clock that has been set back since. The present one
+/// must come back.
 #[test]
-fn leave_notice_before_first_heartbeat_applies_to_late_heartbeats() {
+fn start_that_goes_on_sending_heartbeats_is_in_use_again() {
     let now = Instant::now();
     let mut monitor = new_monitor();
-    monitor.on_leave_notice("a", 1000);
+    monitor.on_heartbeat(&heartbeat("a", 10, 4, HeartbeatPhase::Ready), now);
+    monitor.on_leave_notice(incarnation("a", 20));
     monitor.on_heartbeat(&heartbeat("a", 10, 5, HeartbeatPhase::Ready), now);
+    monitor.on_heartbeat(&heartbeat("a", 10, 6, HeartbeatPhase::Ready), now);
+    assert!(monitor.serving(now).is_none(), "they were held up together");
+    let later = now + HEARTBEAT_INTERVAL;
+    monitor.on_heartbeat(&heartbeat("a", 10, 7, HeartbeatPhase::Ready), later);
+    assert!(monitor.serving(later).is_some());
+}
+
+/// DRAIN: a notice that names no start was compared with starts by this host's clock, which may be set back.
+#[test]
+fn after_a_leave_notice_without_a_start_a_single_heartbeat_is_not_believed() {
+    let now = Instant::now();
+    let mut monitor = new_monitor();
+    monitor.on_leave_notice(incarnation("a", 0));
+    for born_ms in [10, u64::MAX] {
+        monitor.on_heartbeat(&heartbeat("a", born_ms, 5, HeartbeatPhase::Ready), now);
+        monitor.on_heartbeat(&heartbeat("a", born_ms, 6, HeartbeatPhase::Ready), now);
+        assert!(
+            monitor.serving(now).is_none(),
+            "the incarnation may be the one that left"
+        );
+    }
+    let later = now + HEARTBEAT_INTERVAL;
+    monitor.on_heartbeat(&heartbeat("a", u64::MAX, 7, HeartbeatPhase::Ready), later);
     assert!(
-        monitor.serving(now).is_none(),
-        "the incarnation started before its leave notice"
-    );
-    monitor.on_heartbeat(&heartbeat("a", 1001, 1, HeartbeatPhase::Ready), now);
-    assert!(
-        monitor.serving(now).is_some(),
-        "the incarnation started after the leave notice"
+        monitor.serving(later).is_some(),
+        "an incarnation that goes on sending heartbeats has started after the notice"
     );
 }
 
+/// DRAIN: a notice without a start was applied to the start that was known, and not to the next one, from
+/// which it may have been.
+#[test]
+fn leave_notice_without_a_start_concerns_the_known_start_and_doubts_the_next() {
+    let now = Instant::now();
+    let mut monitor = new_monitor();
+    monitor.on_heartbeat(&heartbeat("a", 10, 1, HeartbeatPhase::Ready), now);
+    monitor.on_leave_notice(incarnation("a", 0));
+    monitor.on_heartbeat(&heartbeat("a", 10, 2, HeartbeatPhase::Ready), now);
+    let later = now + HEARTBEAT_INTERVAL;
+    monitor.on_heartbeat(&heartbeat("a", 10, 3, HeartbeatPhase::Ready), later);
+    assert!(monitor.serving(later).is_none(), "the known start has left");
+    monitor.on_heartbeat(&heartbeat("a", 20, 1, HeartbeatPhase::Ready), later);
+    assert!(monitor.serving(later).is_none());
+    let last = later + HEARTBEAT_INTERVAL;
+    monitor.on_heartbeat(&heartbeat("a", 20, 2, HeartbeatPhase::Ready), last);
+    assert!(monitor.serving(last).is_some());
+}
+
+/// DRAIN: as above, where another node remembers the notice.
+#[test]
+fn departure_without_a_start_learnt_from_others_doubts_a_single_heartbeat() {
+    let now = Instant::now();
+    let mut monitor = new_monitor();
+    monitor.on_heartbeat(&heartbeat("a", 10, 3, HeartbeatPhase::Ready), now);
+    monitor.restore_departed(incarnation("a", 0));
+    assert!(monitor.serving(now).is_none());
+    let later = now + HEARTBEAT_INTERVAL;
+    monitor.on_heartbeat(&heartbeat("a", 10, 4, HeartbeatPhase::Ready), later);
+    assert!(monitor.serving(later).is_some());
+}
+
+/// Departures that others remember are older than those that this process was told.
+#[test]
+fn departure_that_was_told_last_is_the_latest() {
+    let mut monitor = new_monitor();
+    monitor.on_leave_notice(incarnation("b", 20));
+    monitor.restore_departed(incarnation("a", 50));
+    assert_eq!(monitor.latest_departure(), Some(&incarnation("b", 20)));
+}
+
 #[test]
 fn backend_without_heartbeats_is_gone_unless_it_answers() {
     let now = Instant::now();
@@ -169,7 +265,7 @@
     let now = Instant::now();
     let mut monitor = new_monitor();
     monitor.on_heartbeat(&heartbeat("a", 10, 3, HeartbeatPhase::Ready), now);
-    monitor.on_leave_notice("b", 50);
+    monitor.on_leave_notice(incarnation("b", 20));
     assert!(monitor.serving(now).is_some(), "the other instance stays");
     monitor.on_heartbeat(&heartbeat("b", 20, 7, HeartbeatPhase::Ready), now);
     assert!(monitor.serving(now).is_none());
@@ -180,10 +276,7 @@
     let now = Instant::now();
     let mut monitor = new_monitor();
     monitor.on_heartbeat(&heartbeat("a", 10, 3, HeartbeatPhase::Ready), now);
-    monitor.restore_departed(TargetIncarnation {
-        instance: "a".to_owned(),
-        born_ms: 50,
-    });
+    monitor.restore_departed(incarnation("a", 50));
     assert!(monitor.serving(now).is_none());
     monitor.on_heartbeat(&heartbeat("a", 60, 1, HeartbeatPhase::Ready), now);
     assert!(monitor.serving(now).is_some(), "a later start is in use");
