A departure is acknowledged once the store has it, and silence isn't proof of none

Cause: while the store was away a departure was acknowledged on the memory of other processes, all of which can end in the same second. The processes after them asked each other, and the reply "I know of none" of a process that had just started counted as proof; one late heartbeat was then believed. Ruled out: that a node which remembered wasn't asked (all were killed), and that a registration which names the departure was written over (the store was away).

Change: the store must have a departure, else the answer is 503; the backend server gets no more work either way. What a starting process knows counts only from a registration in the store by a process that knew itself, or from a node that has run for 15 s. Otherwise a single heartbeat isn't believed, two that are half an interval apart are. It asks a node of every other data centre.

Why not both: an acknowledgement without the store would need two heartbeats after every restart, which costs honest backend servers an interval.

That nobody else is there no longer proves anything; the replacement demands the registration. Soak departures may lose all processes; the store goes away before the notice or after the answer.

--- a/crates/sequoiagw-mesh/src/core_departures.rs
+++ b/crates/sequoiagw-mesh/src/core_departures.rs
@@ -1,7 +1,8 @@
-//! Departures of backend servers: told to other nodes before they are acknowledged, remembered for
-//! them, and learnt again by a process that has just started.
+//! Departures of backend servers: written to the store before they are acknowledged, remembered by other
+//! nodes, and learnt again by a process that has just started.
+
+use std::time::Duration;
 
-use rand::seq::SliceRandom;
 use sequoiagw_protocol::DepartureNotice;
 use sequoiagw_protocol::DepartureReply;
 use sequoiagw_protocol::FrameBody;
@@ -13,21 +14,20 @@
 use tracing::info;
 
 use crate::mesh_core::StoreAccess;
-use crate::DepartureState;
+use crate::DepartureHistory;
 use crate::MeshAction;
 use crate::MeshCore;
 use crate::TargetIncarnation;
 
-/// Nodes of other data centres that a process asks after its start. Each departure was told to a node of
-/// every data centre.
-const ASKED_REMOTE_NODES: usize = 1;
+/// Longest time by which a heartbeat is late. A node that has run for so long has heard of each departure
+/// from which a heartbeat could still be on its way.
+const LATE_HEARTBEAT_LIMIT: Duration = Duration::from_secs(15);
 
 impl MeshCore {
-    /// How well the latest departure of the backend server outlives this process; `None` if there is
-    /// none.
-    pub fn departure_state(&self) -> Option<DepartureState> {
-        let departure = self.target.latest_departure()?;
-        Some(self.departure_holders.state_of(departure))
+    /// Whether the store has the departure of an incarnation.
+    pub fn is_departure_stored(&self, departing: &TargetIncarnation) -> bool {
+        let stored = self.stored_departure.as_ref();
+        stored.is_some_and(|stored| stored.includes(departing))
     }
 
     /// Whether calls to the store are known to fail.
@@ -37,20 +37,19 @@
 
     /// Records that the store has this node's registration, with the departure that it names.
     pub fn on_departure_stored(&mut self, departure: Option<TargetIncarnation>) {
-        self.departure_holders.record_stored(departure);
-        self.actions.push(MeshAction::DepartureHeld);
+        self.stored_departure = departure;
+        self.actions.push(MeshAction::DepartureStored);
     }
 
     /// Has the latest departure written to the store and remembered by other nodes, unless the store
     /// has it.
     pub(crate) fn share_departure(&mut self, now: Instant) {
-        match self.departure_state() {
-            None | Some(DepartureState::Stored) => return,
-            Some(DepartureState::Unheld | DepartureState::Replicated) => {}
+        let latest = self.target.latest_departure();
+        if latest.is_none_or(|latest| self.is_departure_stored(latest)) {
+            return;
         }
         self.actions.push(MeshAction::RegistrationChanged);
-        let remote_nodes = usize::MAX;
-        self.send_departure_notice(remote_nodes, now);
+        self.send_departure_notice(now);
     }
 
     /// Asks other nodes what they remember of the backend server, if this process has just started.
@@ -58,21 +57,21 @@
         if !self.departure_recovery.must_ask() {
             return;
         }
-        let nodes = self.send_departure_notice(ASKED_REMOTE_NODES, now);
+        let nodes = self.send_departure_notice(now);
         self.departure_recovery.on_asked(&nodes, now);
-        info!(event = "departure_asked", nodes = nodes.len());
+        info!(event = "departure_asked", nodes = nodes.len(), history = ?self.departure_recovery.history());
         self.update_slot_offer(now);
     }
 
-    /// Sends the latest departure to all nodes of the data centre and to one in each of some others;
-    /// returns the nodes.
-    fn send_departure_notice(&mut self, remote_nodes: usize, now: Instant) -> Vec<NodeId> {
+    /// Sends the latest departure to all nodes of the data centre and to one in each other; returns
+    /// the nodes.
+    fn send_departure_notice(&mut self, now: Instant) -> Vec<NodeId> {
         let departure = self.target.latest_departure().cloned();
         let notice = DepartureNotice {
             departed: departure.map(LeavingBackend::from),
             address: self.settings.peer_address.to_string(),
         };
-        let nodes = self.departure_nodes(remote_nodes);
+        let nodes = self.departure_nodes();
         for node in &nodes {
             self.send(*node, FrameBody::Departure(notice.clone()));
         }
@@ -80,28 +79,27 @@
         nodes
     }
 
-    /// All other nodes of the data centre, and one in each of up to `remote_nodes` others.
-    fn departure_nodes(&mut self, remote_nodes: usize) -> Vec<NodeId> {
+    /// All other nodes of the data centre, and one in each other.
+    fn departure_nodes(&self) -> Vec<NodeId> {
         let own_data_centre = &self.settings.data_centre;
-        let mut remote: Vec<NodeId> = self
-            .directory
-            .data_centres()
+        let data_centres = self.directory.data_centres();
+        let remote = data_centres
             .iter()
             .filter(|data_centre| *data_centre != own_data_centre)
-            .filter_map(|data_centre| self.watchers_in(data_centre).first().copied())
-            .collect();
-        remote.shuffle(&mut self.rng);
-        remote.truncate(remote_nodes);
-        let own_data_centre = &self.settings.data_centre;
-        let mut nodes: Vec<NodeId> = self.directory.registered_in(own_data_centre).collect();
-        nodes.retain(|node| *node != self.node);
-        nodes.extend(remote);
-        nodes
+            .filter_map(|data_centre| self.watchers_in(data_centre).first().copied());
+        let neighbours = self.directory.registered_in(own_data_centre);
+        let neighbours = neighbours.filter(|node| *node != self.node);
+        neighbours.chain(remote).collect()
     }
 
     /// Remembers a departure that another node tells of, and replies what is remembered of its backend
     /// server.
-    pub(crate) fn on_departure_notice(&mut self, from: NodeId, notice: DepartureNotice) {
+    pub(crate) fn on_departure_notice(
+        &mut self,
+        from: NodeId,
+        notice: DepartureNotice,
+        now: Instant,
+    ) {
         let Some(address) = NodeAddress::parse(&notice.address) else {
             self.counters.count("frame.no_address");
             return;
@@ -115,26 +113,26 @@
         }
         let departed = remembered.iter().cloned();
         let departed = departed.map(LeavingBackend::from).collect();
-        let reply = DepartureReply { departed };
+        let runs_long = now >= self.started_at + LATE_HEARTBEAT_LIMIT;
+        let reply = DepartureReply {
+            departed,
+            remembers: runs_long || self.settings.first_fleet_start,
+        };
         self.send_to_address(address, FrameBody::DepartureReply(reply));
     }
 
     /// Takes over what another node remembers of the backend server.
     pub(crate) fn on_departure_reply(&mut self, from: NodeId, reply: DepartureReply, now: Instant) {
         for departed in reply.departed {
-            let departure = TargetIncarnation::from(departed);
-            self.restore_departed(departure.clone(), now);
-            let latest = self.target.latest_departure().cloned();
-            if let Some(latest) = latest.filter(|latest| departure.includes(latest)) {
-                self.departure_holders.record_replicated(latest);
-                self.actions.push(MeshAction::DepartureHeld);
-            }
+            self.restore_departed(departed.into(), now);
         }
-        self.departure_recovery.on_reply(from, now);
+        self.departure_recovery.on_reply(from, reply.remembers, now);
         info!(
             target: REQUEST_LOG_TARGET,
             event = "departure_reply",
             from = %from,
+            remembers = reply.remembers,
+            history = ?self.departure_recovery.history(),
             departed = self.target.latest_departure().map(|departure| departure.instance.as_str()),
         );
         self.update_slot_offer(now);
@@ -162,10 +160,20 @@
     /// Slots of the backend server, 0 if it accepts no work or may have left before this process
     /// started.
     pub(crate) fn available_slots(&self, now: Instant) -> u32 {
-        let needed = self.departure_recovery.heartbeats_needed();
-        if needed.is_none_or(|needed| self.target.heartbeat_count() < needed) {
-            return 0;
+        if self.believes_heartbeats() {
+            self.target.serving(now).map_or(0, |(_, slots)| slots)
+        } else {
+            0
+        }
+    }
+
+    /// Whether the backend server's heartbeats can't be from before a departure of which an earlier process
+    /// of this node was told.
+    pub(crate) fn believes_heartbeats(&self) -> bool {
+        match self.departure_recovery.history() {
+            DepartureHistory::Pending => false,
+            DepartureHistory::Unknown => self.target.has_sufficient_evidence(),
+            DepartureHistory::Known => true,
         }
-        self.target.serving(now).map_or(0, |(_, slots)| slots)
     }
 }
--- a/crates/sequoiagw-mesh/src/core_directory.rs
+++ b/crates/sequoiagw-mesh/src/core_directory.rs
@@ -35,6 +35,13 @@
             .iter()
             .find(|(registration, _)| registration.name == self.settings.name);
         let departed = own.and_then(|(registration, _)| registration.leaving.clone());
+        // A registration of an earlier era is from a copy that may be older than the latest departure.
+        let names_latest = |registration: &NodeRegistration| {
+            registration.departures_known && registration.store_era == era
+        };
+        if own.is_some_and(|(registration, _)| names_latest(registration)) {
+            self.departure_recovery.on_registration();
+        }
         self.store_access = StoreAccess::Available;
         if let Some(rollouts) = &mut self.rollouts {
             rollouts.registrations_read = true;
--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -132,7 +132,7 @@
             }
             FrameBody::Digest(received) => self.on_digest(from, received, now),
             FrameBody::VersionDelta(delta) => self.on_delta(from, &delta, now),
-            FrameBody::Departure(notice) => self.on_departure_notice(from, notice),
+            FrameBody::Departure(notice) => self.on_departure_notice(from, notice, now),
             FrameBody::DepartureReply(reply) => self.on_departure_reply(from, reply, now),
             FrameBody::Crashes(received) => self.on_crash_records(from, &received, now),
             FrameBody::Rollouts(received) => self.on_rollout_table(from, received, now),
--- a/crates/sequoiagw-mesh/src/departure_list.rs
+++ b/crates/sequoiagw-mesh/src/departure_list.rs
@@ -19,10 +19,10 @@
 impl DepartureList {
     /// Adds an incarnation that departs now. Of too many, the first is forgotten.
     pub fn record(&mut self, incarnation: TargetIncarnation) {
-        if self.includes(&incarnation) {
+        if self.has_entry_for(&incarnation) {
             return;
         }
-        self.remove_included(&incarnation);
+        self.remove_where(|known| known.has_known_start() && incarnation.includes(known));
         self.departures.push(incarnation);
         self.trim();
     }
@@ -30,10 +30,10 @@
     /// Adds an incarnation of which others remember that it departed, before those recorded here. Of
     /// too many, the first is forgotten.
     pub fn restore(&mut self, incarnation: TargetIncarnation) {
-        if self.includes(&incarnation) {
+        if self.has_entry_for(&incarnation) {
             return;
         }
-        self.remove_included(&incarnation);
+        self.remove_where(|known| known.has_known_start() && incarnation.includes(known));
         let restored = &self.departures[..self.restored];
         let index = restored.partition_point(|known| known.born_ms <= incarnation.born_ms);
         self.departures.insert(index, incarnation);
@@ -41,10 +41,25 @@
         self.trim();
     }
 
-    fn remove_included(&mut self, incarnation: &TargetIncarnation) {
+    /// Forgets the departure of an unknown start of the instance, since the present one is running.
+    pub fn forget_unknown_start(&mut self, instance: &str) {
+        self.remove_where(|known| known.instance == instance && !known.has_known_start());
+    }
+
+    /// Whether an entry says what the departure of an incarnation says. That of an unknown start says more
+    /// than that of any known one.
+    fn has_entry_for(&self, incarnation: &TargetIncarnation) -> bool {
+        self.departures.contains(incarnation)
+            || incarnation.has_known_start() && self.includes(incarnation)
+    }
+
+    fn remove_where<IsRemoved>(&mut self, is_removed: IsRemoved)
+    where
+        IsRemoved: Fn(&TargetIncarnation) -> bool,
+    {
         let restored = self.departures[..self.restored].iter();
-        self.restored -= restored.filter(|known| incarnation.includes(known)).count();
-        self.departures.retain(|known| !incarnation.includes(known));
+        self.restored -= restored.filter(|known| is_removed(known)).count();
+        self.departures.retain(|known| !is_removed(known));
     }
 
     fn trim(&mut self) {
--- a/crates/sequoiagw-mesh/src/departure_recovery.rs
+++ b/crates/sequoiagw-mesh/src/departure_recovery.rs
@@ -1,5 +1,5 @@
-//! What a process that has just started waits for before it believes a heartbeat: the backend server
-//! may have told an earlier process that it leaves, and the heartbeat may be from before that.
+//! What a process that has just started knows of earlier departures of its backend server. The backend
+//! server may have told an earlier process that it leaves, and a heartbeat may be from before that.
 
 use std::collections::BTreeSet;
 use std::time::Duration;
@@ -11,9 +11,17 @@
 const SEARCH_LIMIT: Duration = Duration::from_secs(3);
 /// Longest time until the nodes that were asked have replied.
 const REPLY_LIMIT: Duration = Duration::from_millis(500);
-/// Heartbeats of an incarnation that are enough if no other node replied. A heartbeat that was delayed
-/// isn't followed by another one.
-const UNCONFIRMED_HEARTBEATS: u32 = 2;
+
+/// What a process knows of the departures that were acknowledged before its start.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum DepartureHistory {
+    /// It isn't known yet, and no heartbeat is believed.
+    Pending,
+    /// Nobody is left who would know. A single heartbeat isn't believed, since it may have been delayed.
+    Unknown,
+    /// All of them are known.
+    Known,
+}
 
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum RecoveryPhase {
@@ -22,19 +30,20 @@
     /// Nodes were asked what they remember.
     Asking {
         unanswered: BTreeSet<NodeId>,
-        has_reply: bool,
         until: Instant,
     },
-    /// No node has replied in time.
-    Unconfirmed { has_asked: bool },
-    /// What others remember is known.
-    Complete,
+    /// The nodes that were asked have replied, or it is too late.
+    Complete { has_asked: bool },
 }
 
-/// Recovery of the backend server's departure by a process that has just started.
+/// Recovery of the backend server's departures by a process that has just started.
+///
+/// They are known from someone who would have heard of each: the store, or a node that has run for long.
+/// A node that knows of no departure because it has just started itself shows nothing.
 #[derive(Debug)]
 pub struct DepartureRecovery {
     phase: RecoveryPhase,
+    is_known: bool,
 }
 
 impl DepartureRecovery {
@@ -42,42 +51,47 @@
     /// to be recovered.
     pub fn new(first_fleet_start: bool, now: Instant) -> Self {
         let phase = if first_fleet_start {
-            RecoveryPhase::Complete
+            RecoveryPhase::Complete { has_asked: true }
         } else {
             RecoveryPhase::Searching {
                 until: now + SEARCH_LIMIT,
             }
         };
-        Self { phase }
+        Self {
+            phase,
+            is_known: first_fleet_start,
+        }
     }
 
     /// Whether other nodes have still to be asked.
     pub fn must_ask(&self) -> bool {
         matches!(
             self.phase,
-            RecoveryPhase::Searching { .. } | RecoveryPhase::Unconfirmed { has_asked: false }
+            RecoveryPhase::Searching { .. } | RecoveryPhase::Complete { has_asked: false }
         )
     }
 
-    /// Records which nodes were asked. Without any, no other node can remember a departure.
+    /// Records which nodes were asked.
     pub fn on_asked(&mut self, nodes: &[NodeId], now: Instant) {
         self.phase = match &self.phase {
-            // The backend server may be in use already.
-            RecoveryPhase::Unconfirmed { .. } => RecoveryPhase::Unconfirmed { has_asked: true },
-            _ if nodes.is_empty() => RecoveryPhase::Complete,
-            _ => RecoveryPhase::Asking {
+            RecoveryPhase::Searching { .. } if !nodes.is_empty() => RecoveryPhase::Asking {
                 unanswered: nodes.iter().copied().collect(),
-                has_reply: false,
                 until: now + REPLY_LIMIT,
             },
+            _ => RecoveryPhase::Complete { has_asked: true },
         };
     }
 
-    /// Records the reply of a node.
-    pub fn on_reply(&mut self, node: NodeId, now: Instant) {
-        if let RecoveryPhase::Asking { has_reply, .. } = &mut self.phase {
-            *has_reply = true;
-        }
+    /// Records that the store has the registration of an earlier process that knew all departures. It
+    /// names the latest one.
+    pub fn on_registration(&mut self) {
+        self.is_known = true;
+    }
+
+    /// Records the reply of a node. `remembers` is whether that node has heard of each departure from which
+    /// a heartbeat could still be on its way.
+    pub fn on_reply(&mut self, node: NodeId, remembers: bool, now: Instant) {
+        self.is_known |= remembers;
         self.on_unreachable(node, now);
     }
 
@@ -91,24 +105,17 @@
 
     /// Ends the phase if it is over.
     pub fn on_tick(&mut self, now: Instant) {
-        let next = match &self.phase {
+        match &self.phase {
             RecoveryPhase::Searching { until } if now >= *until => {
-                RecoveryPhase::Unconfirmed { has_asked: false }
+                self.phase = RecoveryPhase::Complete { has_asked: false };
             }
-            RecoveryPhase::Asking {
-                unanswered,
-                has_reply,
-                until,
-            } if unanswered.is_empty() || now >= *until => {
-                if *has_reply {
-                    RecoveryPhase::Complete
-                } else {
-                    RecoveryPhase::Unconfirmed { has_asked: true }
-                }
+            RecoveryPhase::Asking { unanswered, until }
+                if unanswered.is_empty() || now >= *until =>
+            {
+                self.phase = RecoveryPhase::Complete { has_asked: true };
             }
-            _ => return,
-        };
-        self.phase = next;
+            _ => {}
+        }
     }
 
     /// Next time at which [`Self::on_tick`] has something to do.
@@ -117,17 +124,18 @@
             RecoveryPhase::Searching { until } | RecoveryPhase::Asking { until, .. } => {
                 Some(*until)
             }
-            RecoveryPhase::Unconfirmed { .. } | RecoveryPhase::Complete => None,
+            RecoveryPhase::Complete { .. } => None,
         }
     }
 
-    /// Heartbeats of an incarnation after which it is in use, `None` while it isn't known whether it
-    /// had left.
-    pub fn heartbeats_needed(&self) -> Option<u32> {
+    /// What is known of the departures before the start of the process.
+    pub fn history(&self) -> DepartureHistory {
         match self.phase {
-            RecoveryPhase::Searching { .. } | RecoveryPhase::Asking { .. } => None,
-            RecoveryPhase::Unconfirmed { .. } => Some(UNCONFIRMED_HEARTBEATS),
-            RecoveryPhase::Complete => Some(1),
+            RecoveryPhase::Searching { .. } | RecoveryPhase::Asking { .. } => {
+                DepartureHistory::Pending
+            }
+            RecoveryPhase::Complete { .. } if self.is_known => DepartureHistory::Known,
+            RecoveryPhase::Complete { .. } => DepartureHistory::Unknown,
         }
     }
 }
--- a/crates/sequoiagw-mesh/src/local_server.rs
+++ b/crates/sequoiagw-mesh/src/local_server.rs
@@ -17,13 +17,14 @@
 use tracing::warn;
 
 use crate::connection_acceptor::accept_connections;
-use crate::wait_until_departure_held;
+use crate::wait_until_departure_stored;
 use crate::Heartbeat;
 use crate::HeartbeatOutcome;
 use crate::HeartbeatPhase;
 use crate::LocalRequest;
 use crate::MeshCore;
 use crate::MeshHandle;
+use crate::TargetIncarnation;
 
 /// Limits of requests to the node's own addresses.
 const LIMITS: ServerLimits = ServerLimits {
@@ -92,8 +93,8 @@
                     current_born_ms = current.as_ref().map(|current| current.born_ms),
                 );
                 self.handle
-                    .with_core(|core, now| core.on_leave_notice(departing, now));
-                self.acknowledge_departure().await
+                    .with_core(|core, now| core.on_leave_notice(departing.clone(), now));
+                self.acknowledge_departure(&departing).await
             }
             LocalRequest::Other(reply) => reply,
         }
@@ -129,7 +130,7 @@
             .with_core(|core, now| core.on_heartbeat(heartbeat, now));
         match outcome {
             HeartbeatOutcome::Accepted if heartbeat.phase == HeartbeatPhase::Draining => {
-                self.acknowledge_departure().await
+                self.acknowledge_departure(&heartbeat.incarnation()).await
             }
             HeartbeatOutcome::Accepted => HttpReply::json(200, "{}"),
             HeartbeatOutcome::Stale => {
@@ -143,10 +144,10 @@
         }
     }
 
-    /// Acknowledges that the backend server leaves once this outlives the process; a refusal tells the
-    /// backend server to say it again.
-    async fn acknowledge_departure(&self) -> HttpReply {
-        if wait_until_departure_held(&self.handle).await {
+    /// Acknowledges that an incarnation leaves once this outlives all processes; a refusal tells the backend
+    /// server to say it again. It gets no more work in either case.
+    async fn acknowledge_departure(&self, departing: &TargetIncarnation) -> HttpReply {
+        if wait_until_departure_stored(&self.handle, departing).await {
             HttpReply::json(200, "{}")
         } else {
             HttpReply::empty(503)
--- a/crates/sequoiagw-mesh/src/mesh_action.rs
+++ b/crates/sequoiagw-mesh/src/mesh_action.rs
@@ -27,8 +27,8 @@
     Permit(PermitTicket, PermitOutcome),
     /// Write the node's own registration to the store again.
     RegistrationChanged,
-    /// Someone else knows the latest departure of the backend server.
-    DepartureHeld,
+    /// The store has the node's registration, with the departure that it names.
+    DepartureStored,
     /// Follow the store, since the watchers of the data centre have lost it.
     WatchersLost,
     /// Write a roll-out's record, which [`crate::MeshCore::take_rollout_proposal`] returns.
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -27,7 +27,6 @@
 
 use crate::node_quotas::NodeQuotas;
 use crate::node_rollouts::NodeRollouts;
-use crate::DepartureHolders;
 use crate::DepartureList;
 use crate::DepartureRecovery;
 use crate::FleetDirectory;
@@ -63,10 +62,12 @@
     pub(crate) settings: MeshSettings,
     pub(crate) node: NodeId,
     pub(crate) boot: u64,
+    pub(crate) started_at: Instant,
     pub(crate) calls: CallMachines,
     pub(crate) directory: FleetDirectory,
     pub(crate) target: TargetMonitor,
-    pub(crate) departure_holders: DepartureHolders,
+    /// Departure that the store has in this node's registration.
+    pub(crate) stored_departure: Option<TargetIncarnation>,
     pub(crate) departure_recovery: DepartureRecovery,
     /// Departures of the backend server next to each other node, as that node told them.
     pub(crate) peer_departures: HashMap<NodeId, DepartureList>,
@@ -117,6 +118,7 @@
         Self {
             node,
             boot,
+            started_at: Instant::now(),
             calls: CallMachines::new(
                 EntryMachine::new(&settings.data_centre, entry_rng),
                 OwnerMachine::new(node, boot, OwnerSettings::default()),
@@ -124,7 +126,7 @@
             ),
             directory: FleetDirectory::default(),
             target: TargetMonitor::new(&backend.service, &address, backend.heartbeat_interval),
-            departure_holders: DepartureHolders::default(),
+            stored_departure: None,
             departure_recovery: DepartureRecovery::new(settings.first_fleet_start, Instant::now()),
             peer_departures: HashMap::new(),
             active_version: None,
@@ -241,6 +243,7 @@
             leaving: self.target.latest_departure().cloned(),
             store_era: self.store_era,
             backend_version: self.registered_version(),
+            departures_known: self.believes_heartbeats(),
         }
     }
 
--- a/crates/sequoiagw-mesh/src/mesh_handle.rs
+++ b/crates/sequoiagw-mesh/src/mesh_handle.rs
@@ -49,7 +49,7 @@
     /// Notified when the watchers of the data centre have lost the store.
     watchers_lost: Rc<Notify>,
     /// Notified when someone else knows the latest departure of the backend server.
-    departure_held: Rc<Notify>,
+    departure_stored: Rc<Notify>,
     /// Notified when a roll-out's record has to be written to the store.
     rollout_proposed: Rc<Notify>,
     /// Notified when a timer may be due earlier than the event loop is set to wake.
@@ -77,7 +77,7 @@
             format,
             registration_changed: Rc::default(),
             watchers_lost: Rc::default(),
-            departure_held: Rc::default(),
+            departure_stored: Rc::default(),
             rollout_proposed: Rc::default(),
             timer_changed: Rc::default(),
         }
@@ -98,9 +98,9 @@
         self.watchers_lost.notified().await;
     }
 
-    /// Waits until someone else knows of a departure, from the time of the call on.
-    pub fn wait_for_departure_held(&self) -> impl Future<Output = ()> + '_ {
-        self.departure_held.notified()
+    /// Waits until the store has the registration anew, from the time of the call on.
+    pub fn wait_for_departure_stored(&self) -> impl Future<Output = ()> + '_ {
+        self.departure_stored.notified()
     }
 
     /// Waits until a roll-out's record has to be written to the store.
@@ -290,7 +290,7 @@
             MeshAction::Reply(call, reply) => inner.replies.resolve(call, reply),
             MeshAction::Permit(ticket, outcome) => inner.permits.resolve(ticket, outcome),
             MeshAction::RegistrationChanged => self.registration_changed.notify_one(),
-            MeshAction::DepartureHeld => self.departure_held.notify_waiters(),
+            MeshAction::DepartureStored => self.departure_stored.notify_waiters(),
             MeshAction::WatchersLost => self.watchers_lost.notify_waiters(),
             MeshAction::RolloutProposed => self.rollout_proposed.notify_one(),
         }
--- a/crates/sequoiagw-mesh/src/node_registrar.rs
+++ b/crates/sequoiagw-mesh/src/node_registrar.rs
@@ -167,6 +167,8 @@
     fn drop_lease(&mut self) {
         self.lease = None;
         self.written = None;
+        self.handle
+            .with_core(|core, _| core.on_departure_stored(None));
     }
 
     async fn grant(&mut self) -> Result<GrantedLease, StoreError> {
--- a/crates/sequoiagw-mesh/src/node_registration.rs
+++ b/crates/sequoiagw-mesh/src/node_registration.rs
@@ -66,6 +66,10 @@
     /// Software version of the backend server; empty if it is unknown or roll-outs are off.
     #[serde(default, skip_serializing_if = "String::is_empty")]
     pub backend_version: String,
+    /// Whether the process that wrote the registration knew all departures before its start, so that
+    /// `leaving` names the latest one.
+    #[serde(default)]
+    pub departures_known: bool,
 }
 
 impl NodeRegistration {
--- a/crates/sequoiagw-mesh/src/registration_change.rs
+++ b/crates/sequoiagw-mesh/src/registration_change.rs
@@ -60,6 +60,7 @@
             leaving: record.leaving.map(Into::into),
             store_era: era,
             backend_version: record.backend_version,
+            departures_known: record.departures_known,
         };
         Self::Written(registration, revision)
     }
@@ -88,6 +89,7 @@
                 name: registration.name.clone(),
                 leaving: registration.leaving.clone().map(Into::into),
                 backend_version: registration.backend_version.clone(),
+                departures_known: registration.departures_known,
                 ..MemberRecord::default()
             },
         }
--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -52,6 +52,16 @@
     pub version: String,
 }
 
+impl Heartbeat {
+    /// Incarnation that sent the heartbeat.
+    pub fn incarnation(&self) -> TargetIncarnation {
+        TargetIncarnation {
+            instance: self.instance.clone(),
+            born_ms: self.born_ms.unwrap_or(0),
+        }
+    }
+}
+
 /// Identifies one start of a backend server.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct TargetIncarnation {
@@ -106,8 +116,6 @@
     leaving: bool,
     version: String,
     warm_up_end: Instant,
-    /// Number of heartbeats received.
-    heartbeats: u32,
     last_heartbeat: Instant,
     heartbeat_deadline: Instant,
     evidence: HeartbeatEvidence,
@@ -185,10 +193,7 @@
         {
             return HeartbeatOutcome::Foreign;
         }
-        let incarnation = TargetIncarnation {
-            instance: heartbeat.instance.clone(),
-            born_ms: heartbeat.born_ms.unwrap_or_default(),
-        };
+        let incarnation = heartbeat.incarnation();
         if let Some(current) = &self.current {
             let older = incarnation.born_ms < current.incarnation.born_ms;
             let repeated =
@@ -205,7 +210,6 @@
             Some(current) => current.leaving,
             None => self.departed.includes(&incarnation),
         };
-        let heartbeats = known.map_or(0, |current| current.heartbeats) + 1;
         let is_doubtful = match known {
             Some(current) => current.is_doubtful,
             None => self.departed.has_unknown_start(&incarnation.instance),
@@ -214,6 +218,9 @@
             known.map_or_else(HeartbeatEvidence::default, |current| current.evidence);
         evidence.add(now, self.heartbeat_interval);
         let leaving = was_leaving || heartbeat.phase == HeartbeatPhase::Draining;
+        if evidence.is_sufficient() && !leaving {
+            self.departed.forget_unknown_start(&incarnation.instance);
+        }
         if leaving && !was_leaving {
             self.departed.record(incarnation.clone());
         }
@@ -224,7 +231,6 @@
             leaving,
             version: heartbeat.version.clone(),
             warm_up_end: now + heartbeat.warmup_left,
-            heartbeats,
             last_heartbeat: now,
             heartbeat_deadline: now + self.heartbeat_interval * HEARTBEAT_TIMEOUT_INTERVALS,
             evidence,
@@ -244,6 +250,7 @@
         if let Some(current) = current {
             if departing == current.incarnation || !departing.has_known_start() {
                 current.leaving = true;
+                self.departed.record(current.incarnation.clone());
             } else if !current.incarnation.includes(&departing) {
                 current.withdraw();
             }
@@ -274,11 +281,10 @@
         }
     }
 
-    /// Number of heartbeats received from the current incarnation.
-    pub fn heartbeat_count(&self) -> u32 {
-        self.current
-            .as_ref()
-            .map_or(0, |current| current.heartbeats)
+    /// Whether the heartbeats of the current incarnation show that it is running.
+    pub fn has_sufficient_evidence(&self) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|current| current.evidence.is_sufficient())
     }
 
     /// Incarnation that accepts requests, with its slots.
--- a/crates/sequoiagw-mesh/tests/support/mod.rs
+++ b/crates/sequoiagw-mesh/tests/support/mod.rs
@@ -65,6 +65,7 @@
         leaving: None,
         store_era: StoreEra::default(),
         backend_version: String::new(),
+        departures_known: true,
     }
 }
 
--- a/crates/sequoiagw-protocol/src/departure_message.rs
+++ b/crates/sequoiagw-protocol/src/departure_message.rs
@@ -22,4 +22,8 @@
     /// Processes next to the receiver that the sender remembers as leaving or having left.
     #[prost(message, repeated, tag = "1")]
     pub departed: Vec<LeavingBackend>,
+    /// Whether the sender has run for so long that it has heard of each departure from which a heartbeat
+    /// could still be on its way. Without it, an empty list shows nothing.
+    #[prost(bool, tag = "2")]
+    pub remembers: bool,
 }
--- a/crates/sequoiagw-protocol/src/member_message.rs
+++ b/crates/sequoiagw-protocol/src/member_message.rs
@@ -83,6 +83,9 @@
     /// Software version of the backend server; empty if it is unknown or roll-outs are off.
     #[prost(string, tag = "15")]
     pub backend_version: String,
+    /// Whether the member knew all departures of its backend server before its start.
+    #[prost(bool, tag = "16")]
+    pub departures_known: bool,
 }
 
 /// Probe of a member, or request to probe another one on the sender's behalf.
--- a/crates/sequoiagw-soak/src/fault_injection.rs
+++ b/crates/sequoiagw-soak/src/fault_injection.rs
@@ -197,8 +197,8 @@
     }
 }
 
-/// Lets a backend server leave while the store is away, kills its node's process once that was
-/// acknowledged, and lets a heartbeat from before arrive at the next one.
+/// Lets a backend server leave, kills its node's process or all of them while the store is away, and lets
+/// a heartbeat from before arrive at the next one. What was acknowledged must bind it.
 pub(crate) async fn depart_backend(context: LoadContext, departure: Option<ScheduledDeparture>) {
     let Some(departure) = departure else {
         return;
@@ -211,13 +211,21 @@
     }
     println!("{departure}");
     context.faults.begin();
-    context.fleet.store.set_mode(StoreMode::Unresponsive);
+    if departure.store_away_first {
+        context.fleet.store.set_mode(StoreMode::Unresponsive);
+    }
     sleep(departure.leave_delay).await;
     let incarnation = node.backend.incarnation();
     let acknowledged = node.backend.leave(node.heartbeat_address).await == Some(200);
     let left_at = Instant::now();
+    context.fleet.store.set_mode(StoreMode::Unresponsive);
     sleep(departure.kill_delay).await;
-    kill_process(&context, node_index).await;
+    if departure.loses_all {
+        let indices = 0..context.fleet.nodes.len();
+        kill_processes(&context, indices).await;
+    } else {
+        kill_processes(&context, node_index..=node_index).await;
+    }
     sleep(departure.heartbeat_delay).await;
     node.backend
         .send_late_heartbeat(node.heartbeat_address)
@@ -232,15 +240,21 @@
     context.faults.end();
 }
 
-/// Kills a node's process and starts the next one, unless another fault does so.
-async fn kill_process(context: &LoadContext, node_index: usize) {
-    let node = &context.fleet.nodes[node_index];
-    if node.process_fault_active.replace(true) {
-        return;
+/// Kills the processes of some nodes and starts the next ones, except where another fault does so.
+async fn kill_processes<Indices>(context: &LoadContext, indices: Indices)
+where
+    Indices: IntoIterator<Item = usize>,
+{
+    let nodes = &context.fleet.nodes;
+    let is_free = |index: &usize| !nodes[*index].process_fault_active.replace(true);
+    let killed: Vec<usize> = indices.into_iter().filter(is_free).collect();
+    for index in &killed {
+        nodes[*index].process.borrow_mut().kill();
     }
-    node.process.borrow_mut().kill();
     sleep(RESTART_DELAY).await;
-    restart_process(context, node_index);
+    for index in killed {
+        restart_process(context, index);
+    }
 }
 
 /// Starts the next process of a node.
--- a/crates/sequoiagw-soak/src/fault_plan.rs
+++ b/crates/sequoiagw-soak/src/fault_plan.rs
@@ -145,12 +145,14 @@
 }
 
 /// Departure of a backend server, whose node's process is killed soon after, and of which a heartbeat
-/// arrives late. The store is away meanwhile.
+/// arrives late. The store is away at the kill.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ScheduledDeparture {
-    /// Time at which the store goes away, counted from the start of the faults.
+    /// Time at which it begins, counted from the start of the faults.
     pub at: Duration,
-    /// Time from then until the leave notice.
+    /// Whether the store is away before the leave notice already, or goes away after the answer.
+    pub store_away_first: bool,
+    /// Time until the leave notice.
     pub leave_delay: Duration,
     /// Time from the acknowledgement until the process is killed.
     pub kill_delay: Duration,
@@ -158,6 +160,8 @@
     pub heartbeat_delay: Duration,
     /// Index of the node, modulo the number of nodes.
     pub node_index: usize,
+    /// Whether the processes of all nodes are killed at once.
+    pub loses_all: bool,
 }
 
 impl ScheduledDeparture {
@@ -168,6 +172,9 @@
             kill_delay: Duration::from_millis(rng.random_range(0..MAX_KILL_DELAY_MS)),
             heartbeat_delay: Duration::from_millis(rng.random_range(0..MAX_HEARTBEAT_DELAY_MS)),
             node_index: rng.random_range(0..nodes),
+            // Drawn last, so that the other faults of a seed stay as they were.
+            store_away_first: rng.random(),
+            loses_all: rng.random(),
         }
     }
 }
@@ -176,9 +183,19 @@
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let at = self.at.as_secs_f64();
         let node_index = self.node_index;
+        let moment = if self.store_away_first {
+            "before"
+        } else {
+            "after"
+        };
+        let lost = if self.loses_all {
+            "all nodes are"
+        } else {
+            "its node is"
+        };
         write!(
             formatter,
-            "{at:7.3} s store away, backend server at {node_index} leaves, its node is killed"
+            "{at:7.3} s backend server at {node_index} leaves, store away {moment} it, {lost} killed"
         )
     }
 }
