An empty list of tenants doesn't end the check of keys

Cause: whether a version has a list of tenants wasn't kept as a fact; an empty table stood for an absent list and an empty one. Ruled out: that the version before was still in force (unknown keys got 401 under it).

Change: a version has a list of workspaces or none. [], null and a list without a usable entry are lists, in which no key is known; only an absent field checks no keys, and each node warns of a version that is the first without it. Messages between nodes carry the fact, and an empty list has a digest of its own, so that a node of an earlier release refuses it instead of opening; all other versions keep their digests.

Two tests stated the old reading and are replaced by ones that demand the check for more shapes; that a version without a list has the digest of before is checked as before.

--- a/crates/sequoiagw-mesh/src/caller_access.rs
+++ b/crates/sequoiagw-mesh/src/caller_access.rs
@@ -15,7 +15,7 @@
 /// What a request's key grants under the version in force.
 #[derive(Clone, Debug)]
 pub(crate) enum CallerAccess {
-    /// The version has no workspaces, so keys mean nothing and headers are forwarded unchanged.
+    /// The version has no list of workspaces, so keys mean nothing and headers are forwarded unchanged.
     Unchecked,
     /// The request has no key, or a public route ignores its unknown key.
     Anonymous,
@@ -34,7 +34,7 @@
         head: &RequestHead,
         names: &HeaderNames,
     ) -> Result<Self, ErrorKind> {
-        if !version.has_workspaces() {
+        if !version.checks_keys() {
             return Ok(Self::Unchecked);
         }
         let fields = head.headers.iter();
--- a/crates/sequoiagw-mesh/src/core_versions.rs
+++ b/crates/sequoiagw-mesh/src/core_versions.rs
@@ -47,6 +47,12 @@
         self.counters.count("config.activated");
         self.traffic_splitter.clear();
         let previous = self.active_version.replace(Rc::clone(version));
+        let checked_keys = previous
+            .as_ref()
+            .is_some_and(|previous| previous.checks_keys());
+        if checked_keys && !version.checks_keys() {
+            warn!(event = "key_check_ended", version = version.number);
+        }
         if previous.is_none() {
             self.watchers.on_first_version(now);
         }
--- a/crates/sequoiagw-mesh/src/mesh_version.rs
+++ b/crates/sequoiagw-mesh/src/mesh_version.rs
@@ -96,11 +96,12 @@
     pub digest: u64,
     routes: BTreeMap<String, DigestedRoute>,
     hosts: HashMap<String, Vec<Rc<MeshRoute>>>,
-    workspaces: Rc<WorkspaceTable>,
+    /// `None` if the version has no list of workspaces, so that keys mean nothing. An empty list is a list.
+    workspaces: Option<Rc<WorkspaceTable>>,
 }
 
 impl MeshVersion {
-    /// Compiles a version without workspaces from its routes and limits.
+    /// Compiles a version without a list of workspaces from its routes and limits.
     pub fn new(number: u64, routes: Vec<MeshRoute>, limits: CallerLimits) -> Self {
         let by_name = routes.into_iter().map(|route| {
             let name = route.name.clone();
@@ -109,20 +110,22 @@
         Self::compile(number, by_name.collect(), limits)
     }
 
-    /// Sets the workspaces. Of several workspaces with the same name the last one counts; of
-    /// several workspaces with the same key the first by name keeps it, and the others are logged.
+    /// Sets the list of workspaces, which may be empty. Of several workspaces with the same name the last
+    /// one counts; of several workspaces with the same key the first by name keeps it, and the others are
+    /// logged.
     #[must_use]
     pub fn with_workspaces(self, workspaces: Vec<KeyedWorkspace>) -> Self {
-        self.with_table(WorkspaceTable::new(workspaces))
+        self.with_table(Some(WorkspaceTable::new(workspaces)))
     }
 
-    fn with_table(mut self, workspaces: WorkspaceTable) -> Self {
-        self.digest ^= self.workspaces.digest() ^ workspaces.digest();
-        self.workspaces = Rc::new(workspaces);
+    fn with_table(mut self, workspaces: Option<WorkspaceTable>) -> Self {
+        let digest_of = |table: Option<&WorkspaceTable>| table.map_or(0, WorkspaceTable::digest);
+        self.digest ^= digest_of(self.workspaces.as_deref()) ^ digest_of(workspaces.as_ref());
+        self.workspaces = workspaces.map(Rc::new);
         self
     }
 
-    /// Compiles a version without workspaces.
+    /// Compiles a version without a list of workspaces.
     fn compile(number: u64, routes: BTreeMap<String, DigestedRoute>, limits: CallerLimits) -> Self {
         let mut hosts: HashMap<String, Vec<Rc<MeshRoute>>> = HashMap::new();
         let mut digest = xxh3_64_with_seed(&LimitsRecord::from(&limits).encode_to_vec(), number);
@@ -143,7 +146,7 @@
             digest,
             routes,
             hosts,
-            workspaces: Rc::default(),
+            workspaces: None,
         }
     }
 
@@ -170,8 +173,9 @@
             limits: Some(LimitsRecord::from(&self.limits)),
             ..VersionDelta::default()
         };
-        let base_workspaces = base.map(|base| &*base.workspaces);
-        self.workspaces.write_delta(base_workspaces, &mut delta);
+        let base_workspaces = base.and_then(|base| base.workspaces.as_deref());
+        let workspaces = self.workspaces.as_deref();
+        WorkspaceTable::write_delta(base_workspaces, workspaces, &mut delta);
         delta
     }
 
@@ -197,7 +201,8 @@
             routes.insert(record.name.clone(), DigestedRoute::new(record.into()));
         }
         let limits = delta.limits.as_ref().map(CallerLimits::from);
-        let workspaces = WorkspaceTable::apply(base.map(|base| &*base.workspaces), delta);
+        let base_workspaces = base.and_then(|base| base.workspaces.as_deref());
+        let workspaces = WorkspaceTable::apply(base_workspaces, delta);
         let version = Self::compile(delta.number, routes, limits.unwrap_or_default());
         let version = version.with_table(workspaces);
         if version.digest != delta.digest {
@@ -217,19 +222,21 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
-    /// Whether the version has workspaces, so that callers need keys.
-    pub fn has_workspaces(&self) -> bool {
-        !self.workspaces.is_empty()
+    /// Whether the version has a list of workspaces, so that keys are checked. While it is empty, no key is
+    /// known.
+    pub fn checks_keys(&self) -> bool {
+        self.workspaces.is_some()
     }
 
     /// Workspace with a name.
     pub fn workspace(&self, name: &str) -> Option<&Workspace> {
-        self.workspaces.find_by_name(name)
+        self.workspaces.as_ref()?.find_by_name(name)
     }
 
     /// Workspace that holds a key.
     pub fn find_workspace(&self, key: &str) -> Option<&Rc<Workspace>> {
-        self.workspaces.find(&ApiKeyDigest::of_key(key))
+        let workspaces = self.workspaces.as_ref()?;
+        workspaces.find(&ApiKeyDigest::of_key(key))
     }
 }
 
--- a/crates/sequoiagw-mesh/src/workspace_table.rs
+++ b/crates/sequoiagw-mesh/src/workspace_table.rs
@@ -18,6 +18,9 @@
 /// different digests.
 const DIGEST_SEED: u64 = 1;
 
+/// Digest of a table without workspaces, which differs from that of no table.
+const EMPTY_DIGEST: u64 = 1;
+
 /// A workspace with the digest of its encoded record.
 #[derive(Clone, Debug)]
 struct DigestedWorkspace {
@@ -97,21 +100,19 @@
         Some(&digested.keyed.workspace)
     }
 
-    /// Whether there are no workspaces.
-    pub(crate) fn is_empty(&self) -> bool {
-        self.by_name.is_empty()
-    }
-
-    /// Digest of all workspaces, 0 without any.
+    /// Digest of all workspaces.
     pub(crate) fn digest(&self) -> u64 {
         let digests = self.by_name.values().map(|digested| digested.digest);
-        digests.fold(0, |all, digest| all ^ digest)
+        let combined = digests.reduce(|all, digest| all ^ digest);
+        combined.unwrap_or(EMPTY_DIGEST)
     }
 
-    /// Adds the changes that lead from `base` to this table to a delta.
-    pub(crate) fn write_delta(&self, base: Option<&Self>, delta: &mut VersionDelta) {
+    /// Adds the changes that lead from a base to a table to a delta; either may be missing.
+    pub(crate) fn write_delta(base: Option<&Self>, table: Option<&Self>, delta: &mut VersionDelta) {
         let in_base = |name: &str| base.and_then(|base| base.by_name.get(name));
-        let changed = self.by_name.iter().filter(|(name, digested)| {
+        let in_table = |name: &str| table.and_then(|table| table.by_name.get(name));
+        let workspaces = table.into_iter().flat_map(|table| &table.by_name);
+        let changed = workspaces.filter(|(name, digested)| {
             let before = in_base(name);
             before.is_none_or(|before| before.digest != digested.digest)
         });
@@ -120,19 +121,24 @@
             .collect();
         let base_names = base.into_iter().flat_map(|base| base.by_name.keys());
         delta.removed_workspaces = base_names
-            .filter(|name| !self.by_name.contains_key(*name))
+            .filter(|name| in_table(name).is_none())
             .cloned()
             .collect();
+        delta.checks_keys = table.is_some();
     }
 
-    /// Builds the table that a delta produces from `base`.
-    pub(crate) fn apply(base: Option<&Self>, delta: &VersionDelta) -> Self {
+    /// Builds the table that a delta produces from `base`, `None` if the version has no list of workspaces.
+    ///
+    /// A sender of an earlier release doesn't say whether it has one; its workspaces show it.
+    pub(crate) fn apply(base: Option<&Self>, delta: &VersionDelta) -> Option<Self> {
         let base = base.into_iter().flat_map(|base| base.by_name.values());
         let is_kept =
             |keyed: &KeyedWorkspace| !delta.removed_workspaces.contains(&keyed.workspace.name);
         let kept = base.map(|digested| &*digested.keyed);
         let kept = kept.filter(|keyed| is_kept(keyed)).cloned();
         let changed = delta.workspaces.iter().map(KeyedWorkspace::from);
-        Self::new(kept.chain(changed).collect())
+        let table = Self::new(kept.chain(changed).collect());
+        let has_list = delta.checks_keys || !table.by_name.is_empty();
+        has_list.then_some(table)
     }
 }
--- a/crates/sequoiagw-mesh/tests/workspaces/caller_keys.rs
+++ b/crates/sequoiagw-mesh/tests/workspaces/caller_keys.rs
@@ -2,11 +2,14 @@
 
 use std::future::Future;
 
+use sequoiagw_mesh::CallerLimits;
+use sequoiagw_mesh::MeshVersion;
 use sequoiagw_protocol::RankLevel;
 use tokio::task::LocalSet;
 
 use crate::number_format::HEADERS;
 use crate::served_node::ServedNode;
+use crate::support::route;
 use crate::workspace_version::version;
 use crate::workspace_version::workspace;
 
@@ -142,10 +145,32 @@
     LocalSet::new().run_until(check).await;
 }
 
+/// ROUTE, UNASKED: after the last workspace was removed, requests with any key ran, and the key was passed
+/// on to the backend server.
 #[tokio::test]
-async fn version_without_workspaces_forwards_headers_unchanged() {
+async fn keys_stay_checked_when_a_version_removes_the_last_workspace() {
     run_with_mill(|node| async move {
         node.activate(version(2, Vec::new()));
+        for key in [KEY, UNKNOWN_KEY] {
+            assert_eq!(node.status("/order/1", &[key]).await, 401, "{key:?}");
+        }
+        assert!(node.take_heads().is_empty(), "neither request may run");
+        let claim = (HEADERS.workspace, "forge");
+        assert_eq!(node.status("/open/1", &[UNKNOWN_KEY, claim]).await, 200);
+        let heads = node.take_heads().concat();
+        assert!(!heads.contains("key-of-nobody"), "{heads}");
+        assert!(!heads.contains("forge"), "{heads}");
+        node.activate(version(3, vec![workspace("mill", &[KEY.1])]));
+        assert_eq!(node.status("/order/1", &[KEY]).await, 200);
+    })
+    .await;
+}
+
+#[tokio::test]
+async fn version_without_a_list_of_workspaces_forwards_headers_unchanged() {
+    run_with_mill(|node| async move {
+        let plain = MeshVersion::new(2, vec![route(1)], CallerLimits::default());
+        node.activate(plain);
         let claim = (HEADERS.workspace, "forge");
         assert_eq!(node.status("/order/1", &[UNKNOWN_KEY, claim]).await, 200);
         let heads = node.take_heads().concat();
--- a/crates/sequoiagw-mesh/tests/workspaces/version_workspaces.rs
+++ b/crates/sequoiagw-mesh/tests/workspaces/version_workspaces.rs
@@ -33,16 +33,62 @@
 }
 
 #[test]
-fn version_without_workspaces_has_the_digest_and_delta_of_before() {
+fn version_without_a_list_of_workspaces_has_the_digest_and_delta_of_before() {
     let plain = MeshVersion::new(7, vec![route(1)], CallerLimits::default());
     assert_eq!(plain.digest, DIGEST_BEFORE);
-    let emptied = version(7, &[workspace("mill", &["k"])]).with_workspaces(Vec::new());
-    assert_eq!(emptied.digest, plain.digest);
-    assert_eq!(emptied.delta_from(None), plain.delta_from(None));
-    assert!(!emptied.has_workspaces());
+    assert!(!plain.checks_keys());
     assert_eq!(names(&plain.delta_from(None)), (vec![], vec![]));
 }
 
+/// ROUTE: a version whose list of workspaces had become empty was the same as one without a list.
+#[test]
+fn emptied_list_of_workspaces_differs_from_none() {
+    let plain = MeshVersion::new(7, vec![route(1)], CallerLimits::default());
+    let emptied = version(7, &[workspace("mill", &["k"])]).with_workspaces(Vec::new());
+    assert!(emptied.checks_keys());
+    assert_ne!(emptied.digest, plain.digest);
+    assert!(emptied.find_workspace("k").is_none());
+}
+
+/// ROUTE: the list has to stay a list on every way from node to node: whole versions, and deltas from a
+/// version with workspaces, with an empty list and without one.
+#[test]
+fn delta_carries_whether_there_is_a_list_of_workspaces() {
+    let plain = |number| MeshVersion::new(number, vec![route(1)], CallerLimits::default());
+    let bases = [
+        plain(3),
+        version(3, &[]),
+        version(3, &[workspace("mill", &["k"])]),
+    ];
+    for sent in [
+        plain(7),
+        version(7, &[]),
+        version(7, &[workspace("mill", &["m"])]),
+    ] {
+        for base in [None].into_iter().chain(bases.iter().map(Some)) {
+            let applied = MeshVersion::apply(base, &sent.delta_from(base)).expect("a delta");
+            assert_eq!(applied.digest, sent.digest);
+            assert_eq!(applied.checks_keys(), sent.checks_keys());
+            assert!(applied.find_workspace("k").is_none());
+        }
+    }
+}
+
+/// A node of an earlier release doesn't say that there is a list: its workspaces show it, and a delta that it
+/// passes on without that fact is refused.
+#[test]
+fn delta_that_has_lost_the_list_of_workspaces_is_refused() {
+    let held = version(7, &[workspace("mill", &["m"])]);
+    let mut delta = held.delta_from(None);
+    delta.checks_keys = false;
+    let applied = MeshVersion::apply(None, &delta).expect("a version with workspaces");
+    assert!(applied.checks_keys());
+    let mut delta = version(7, &[]).delta_from(None);
+    delta.checks_keys = false;
+    let expected = DeltaError::DigestMismatch { number: 7 };
+    assert_eq!(MeshVersion::apply(None, &delta).err(), Some(expected));
+}
+
 #[test]
 fn delta_carries_changed_and_removed_workspaces_only() {
     let old = version(
--- a/crates/sequoiagw-protocol/src/version_message.rs
+++ b/crates/sequoiagw-protocol/src/version_message.rs
@@ -115,4 +115,7 @@
     /// Names of the workspaces that are removed.
     #[prost(string, repeated, tag = "8")]
     pub removed_workspaces: Vec<String>,
+    /// Whether the produced version has a list of workspaces, which may be empty.
+    #[prost(bool, tag = "9")]
+    pub checks_keys: bool,
 }
