An earlier start time doesn't make a start an earlier one

One that had started under another instance name after its clock was set back was never used.

Cause: every heartbeat with a lower start time than the known start's counted as a late one and changed nothing, while draining in it was acknowledged. The clock of the host had been set back between two starts.

Change: what seems earlier is a candidate. Heartbeats with rising sequence numbers that arrive half an interval apart, while the present start is silent, show that it is running; then it replaces the present one. Until then its departure isn't acknowledged. A departure stands for the very start that it names; others of the instance that seem earlier are doubted until two heartbeats, not barred.

--- a/crates/sequoiagw-mesh/src/core_departures.rs
+++ b/crates/sequoiagw-mesh/src/core_departures.rs
@@ -24,10 +24,14 @@
 const LATE_HEARTBEAT_LIMIT: Duration = Duration::from_secs(15);
 
 impl MeshCore {
-    /// Whether the store has the departure of an incarnation.
+    /// Whether the store has the departure of an incarnation; if its start isn't known, that of any start of
+    /// the instance.
     pub fn is_departure_stored(&self, departing: &TargetIncarnation) -> bool {
         let stored = self.stored_departure.as_ref();
-        stored.is_some_and(|stored| stored.includes(departing))
+        stored.is_some_and(|stored| {
+            let names_instance = stored.instance == departing.instance;
+            stored == departing || names_instance && !departing.has_known_start()
+        })
     }
 
     /// Whether calls to the store are known to fail.
--- a/crates/sequoiagw-mesh/src/core_target.rs
+++ b/crates/sequoiagw-mesh/src/core_target.rs
@@ -77,7 +77,7 @@
 
     /// Handles the leave notice of an incarnation of the backend server.
     pub fn on_leave_notice(&mut self, departing: TargetIncarnation, now: Instant) {
-        self.target.on_leave_notice(departing);
+        self.target.on_leave_notice(departing, now);
         self.share_departure(now);
         self.update_slot_offer(now);
     }
--- a/crates/sequoiagw-mesh/src/departure_list.rs
+++ b/crates/sequoiagw-mesh/src/departure_list.rs
@@ -5,8 +5,7 @@
 /// Incarnations that are remembered. A heartbeat is late by seconds, in which few can have left.
 const MAX_DEPARTURES: usize = 8;
 
-/// Departed incarnations, of several instances. An entry stands for the earlier incarnations of its
-/// instance too.
+/// Departed incarnations, of several instances.
 #[derive(Clone, Debug, Default)]
 pub struct DepartureList {
     /// Those learnt from others first, in the order of their starts, then the recorded ones in the order
@@ -19,10 +18,9 @@
 impl DepartureList {
     /// Adds an incarnation that departs now. Of too many, the first is forgotten.
     pub fn record(&mut self, incarnation: TargetIncarnation) {
-        if self.has_entry_for(&incarnation) {
+        if self.contains(&incarnation) {
             return;
         }
-        self.remove_where(|known| known.has_known_start() && incarnation.includes(known));
         self.departures.push(incarnation);
         self.trim();
     }
@@ -30,10 +28,9 @@
     /// Adds an incarnation of which others remember that it departed, before those recorded here. Of
     /// too many, the first is forgotten.
     pub fn restore(&mut self, incarnation: TargetIncarnation) {
-        if self.has_entry_for(&incarnation) {
+        if self.contains(&incarnation) {
             return;
         }
-        self.remove_where(|known| known.has_known_start() && incarnation.includes(known));
         let restored = &self.departures[..self.restored];
         let index = restored.partition_point(|known| known.born_ms <= incarnation.born_ms);
         self.departures.insert(index, incarnation);
@@ -43,20 +40,8 @@
 
     /// Forgets the departure of an unknown start of the instance, since the present one is running.
     pub fn forget_unknown_start(&mut self, instance: &str) {
-        self.remove_where(|known| known.instance == instance && !known.has_known_start());
-    }
-
-    /// Whether an entry says what the departure of an incarnation says. That of an unknown start says more
-    /// than that of any known one.
-    fn has_entry_for(&self, incarnation: &TargetIncarnation) -> bool {
-        self.departures.contains(incarnation)
-            || incarnation.has_known_start() && self.includes(incarnation)
-    }
-
-    fn remove_where<IsRemoved>(&mut self, is_removed: IsRemoved)
-    where
-        IsRemoved: Fn(&TargetIncarnation) -> bool,
-    {
+        let is_removed =
+            |known: &TargetIncarnation| known.instance == instance && !known.has_known_start();
         let restored = self.departures[..self.restored].iter();
         self.restored -= restored.filter(|known| is_removed(known)).count();
         self.departures.retain(|known| !is_removed(known));
@@ -69,17 +54,18 @@
         }
     }
 
-    /// Whether an incarnation has departed.
-    pub fn includes(&self, incarnation: &TargetIncarnation) -> bool {
-        self.departures
-            .iter()
-            .any(|departure| departure.includes(incarnation))
+    /// Whether this very incarnation has departed.
+    pub fn contains(&self, incarnation: &TargetIncarnation) -> bool {
+        self.departures.contains(incarnation)
     }
 
-    /// Whether an incarnation of the instance departed whose start isn't known.
-    pub fn has_unknown_start(&self, instance: &str) -> bool {
-        let mut departures = self.departures.iter();
-        departures.any(|departure| departure.instance == instance && !departure.has_known_start())
+    /// Whether an incarnation may be from before a departure of its instance: of a start that isn't known, or
+    /// of one that is later by the starts that they state.
+    pub fn casts_doubt_on(&self, incarnation: &TargetIncarnation) -> bool {
+        self.departures.iter().any(|departed| {
+            departed.instance == incarnation.instance
+                && (!departed.has_known_start() || departed.born_ms > incarnation.born_ms)
+        })
     }
 
     /// The incarnation that departed last.
--- a/crates/sequoiagw-mesh/src/local_server.rs
+++ b/crates/sequoiagw-mesh/src/local_server.rs
@@ -129,19 +129,25 @@
             .handle
             .with_core(|core, now| core.on_heartbeat(heartbeat, now));
         match outcome {
-            HeartbeatOutcome::Accepted if heartbeat.phase == HeartbeatPhase::Draining => {
-                self.acknowledge_departure(&heartbeat.incarnation()).await
-            }
-            HeartbeatOutcome::Accepted => HttpReply::json(200, "{}"),
+            HeartbeatOutcome::Accepted => {}
             HeartbeatOutcome::Stale => {
-                info!(event = "heartbeat_late", instance = %heartbeat.instance, sequence = heartbeat.sequence);
-                HttpReply::json(200, "{}")
+                info!(
+                    event = "heartbeat_late",
+                    instance = %heartbeat.instance,
+                    born_ms = heartbeat.born_ms,
+                    sequence = heartbeat.sequence
+                );
             }
             HeartbeatOutcome::Foreign => {
                 warn!(event = "heartbeat_foreign", instance = %heartbeat.instance, service = %heartbeat.service);
-                HttpReply::empty(404)
+                return HttpReply::empty(404);
             }
         }
+        match heartbeat.phase {
+            HeartbeatPhase::Ready => HttpReply::json(200, "{}"),
+            // Also of a late heartbeat: only a departure that binds is acknowledged.
+            HeartbeatPhase::Draining => self.acknowledge_departure(&heartbeat.incarnation()).await,
+        }
     }
 
     /// Acknowledges that an incarnation leaves once this outlives all processes; a refusal tells the backend
--- a/crates/sequoiagw-mesh/src/target_monitor.rs
+++ b/crates/sequoiagw-mesh/src/target_monitor.rs
@@ -1,140 +1,20 @@
 //! State of the backend server next to this node, from its heartbeats and leave notices.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
-use sequoiagw_policy::ServerProcess;
-use sequoiagw_protocol::LeavingBackend;
-use serde::Deserialize;
-use serde::Serialize;
 use tokio::time::Instant;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::current_incarnation::CandidateIncarnation;
+use crate::current_incarnation::CurrentIncarnation;
 use crate::heartbeat_evidence::HeartbeatEvidence;
 use crate::node_registration::MAX_BACKEND_SLOTS;
 use crate::DepartureList;
+use crate::Heartbeat;
+use crate::TargetIncarnation;
 
-/// Heartbeat intervals without a heartbeat after which a backend server counts as gone.
-const HEARTBEAT_TIMEOUT_INTERVALS: u32 = 4;
-/// Heartbeat intervals without a heartbeat after which a backend server counts as gone although it
-/// answers: only what it says of itself tells that it stays.
-const ANSWERING_TIMEOUT_INTERVALS: u32 = 8;
-
-/// Phase of a backend server, as a heartbeat states it.
-#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum HeartbeatPhase {
-    /// The backend server accepts requests.
-    Ready,
-    /// The backend server is leaving and accepts no requests.
-    Draining,
-}
-
-/// A heartbeat of a backend server.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Heartbeat {
-    /// Identity of the process; a restarted one may have the same.
-    pub instance: String,
-    /// Start time of the process, in Unix milliseconds by its own clock.
-    pub born_ms: Option<u64>,
-    /// Sequence number, higher with each heartbeat of an incarnation.
-    pub sequence: u64,
-    /// Service that the process serves.
-    pub service: String,
-    /// Address at which the process accepts requests.
-    pub address: String,
-    /// Number of requests that the process serves at once.
-    pub slots: u32,
-    /// Whether the process accepts requests or is leaving.
-    pub phase: HeartbeatPhase,
-    /// Rest of the time after its start during which the process is slower.
-    pub warmup_left: Duration,
-    /// Software version of the process, empty if it states none.
-    pub version: String,
-}
-
-impl Heartbeat {
-    /// Incarnation that sent the heartbeat.
-    pub fn incarnation(&self) -> TargetIncarnation {
-        TargetIncarnation {
-            instance: self.instance.clone(),
-            born_ms: self.born_ms.unwrap_or(0),
-        }
-    }
-}
-
-/// Identifies one start of a backend server.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct TargetIncarnation {
-    /// Identity of the process; a restarted one may have the same.
-    pub instance: String,
-    /// Start time of the process, in Unix milliseconds; 0 when unknown.
-    pub born_ms: u64,
-}
-
-impl TargetIncarnation {
-    /// Number of the process, equal at all nodes.
-    pub fn process(&self) -> ServerProcess {
-        ServerProcess(xxh3_64_with_seed(self.instance.as_bytes(), self.born_ms))
-    }
-
-    /// Whether the start is known. An incarnation whose start isn't known stands for any start of its
-    /// instance.
-    pub fn has_known_start(&self) -> bool {
-        self.born_ms != 0
-    }
-
-    /// Whether another incarnation is this one, or an earlier one of the same instance.
-    pub fn includes(&self, other: &Self) -> bool {
-        self.instance == other.instance && other.born_ms <= self.born_ms
-    }
-}
-
-impl From<LeavingBackend> for TargetIncarnation {
-    fn from(backend: LeavingBackend) -> Self {
-        Self {
-            instance: backend.instance,
-            born_ms: backend.born_ms,
-        }
-    }
-}
-
-impl From<TargetIncarnation> for LeavingBackend {
-    fn from(incarnation: TargetIncarnation) -> Self {
-        Self {
-            instance: incarnation.instance,
-            born_ms: incarnation.born_ms,
-        }
-    }
-}
-
-/// State of the current incarnation.
-#[derive(Clone, Debug)]
-struct CurrentIncarnation {
-    incarnation: TargetIncarnation,
-    sequence: u64,
-    slots: u32,
-    leaving: bool,
-    version: String,
-    warm_up_end: Instant,
-    last_heartbeat: Instant,
-    heartbeat_deadline: Instant,
-    evidence: HeartbeatEvidence,
-    /// Whether this incarnation may be one that has left or ended, so that a single heartbeat doesn't
-    /// show that it is running.
-    is_doubtful: bool,
-}
-
-impl CurrentIncarnation {
-    /// Takes the incarnation out of use until further heartbeats show that it is running.
-    fn withdraw(&mut self) {
-        self.evidence = HeartbeatEvidence::default();
-        self.is_doubtful = true;
-    }
-
-    fn is_believed(&self) -> bool {
-        !self.is_doubtful || self.evidence.is_sufficient()
-    }
-}
+/// Incarnations that are remembered as replaced by another one.
+const MAX_REPLACED: usize = 8;
 
 /// How a heartbeat was handled.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -155,6 +35,11 @@
     address: String,
     heartbeat_interval: Duration,
     current: Option<CurrentIncarnation>,
+    /// Incarnation other than the current one that sent the latest messages, if they don't show yet that
+    /// it is running.
+    candidate: Option<CandidateIncarnation>,
+    /// Incarnations that were current, the latest last.
+    replaced: VecDeque<TargetIncarnation>,
     /// Incarnations that have left.
     departed: DepartureList,
 }
@@ -168,6 +53,8 @@
             address: address.to_owned(),
             heartbeat_interval,
             current: None,
+            candidate: None,
+            replaced: VecDeque::new(),
             departed: DepartureList::default(),
         }
     }
@@ -175,17 +62,18 @@
     /// Restores the incarnation that was leaving from what others remember of an earlier process of
     /// this node.
     pub fn restore_departed(&mut self, incarnation: TargetIncarnation) {
+        self.departed.restore(incarnation);
         if let Some(current) = &mut self.current {
-            current.leaving |= incarnation.includes(&current.incarnation);
-            let same_instance = current.incarnation.instance == incarnation.instance;
-            current.is_doubtful |= same_instance && !incarnation.has_known_start();
+            current.leaving |= self.departed.contains(&current.incarnation);
+            current.is_doubtful |= self.departed.casts_doubt_on(&current.incarnation);
         }
-        self.departed.restore(incarnation);
     }
 
-    /// Handles a heartbeat. Within an incarnation the highest sequence number wins, and among
-    /// incarnations the latest start. An incarnation that has announced that it leaves never
-    /// accepts requests again.
+    /// Handles a heartbeat. Within an incarnation the highest sequence number wins. An incarnation that has
+    /// announced that it leaves never accepts requests again.
+    ///
+    /// A later start replaces the current one at once. The clock by which starts are stated may be set back,
+    /// so an earlier start replaces it too, once its heartbeats show that it is running.
     pub fn on_heartbeat(&mut self, heartbeat: &Heartbeat, now: Instant) -> HeartbeatOutcome {
         if heartbeat.service != self.service
             || heartbeat.address != self.address
@@ -194,70 +82,139 @@
             return HeartbeatOutcome::Foreign;
         }
         let incarnation = heartbeat.incarnation();
-        if let Some(current) = &self.current {
-            let older = incarnation.born_ms < current.incarnation.born_ms;
-            let repeated =
-                incarnation == current.incarnation && heartbeat.sequence <= current.sequence;
-            if older || repeated {
-                return HeartbeatOutcome::Stale;
-            }
+        let is_current = |current: &CurrentIncarnation| current.incarnation == incarnation;
+        if self.current.as_ref().is_some_and(is_current) {
+            self.update_current(heartbeat, now)
+        } else if self.replaces_current(&incarnation) {
+            self.replace_current(heartbeat, HeartbeatEvidence::default(), now);
+            HeartbeatOutcome::Accepted
+        } else {
+            self.add_to_candidate(heartbeat, now)
         }
-        let known = self
-            .current
-            .as_ref()
-            .filter(|current| current.incarnation == incarnation);
-        let was_leaving = match known {
-            Some(current) => current.leaving,
-            None => self.departed.includes(&incarnation),
-        };
-        let is_doubtful = match known {
-            Some(current) => current.is_doubtful,
-            None => self.departed.has_unknown_start(&incarnation.instance),
+    }
+
+    fn update_current(&mut self, heartbeat: &Heartbeat, now: Instant) -> HeartbeatOutcome {
+        let current = self.current.as_mut();
+        let Some(current) = current.filter(|current| heartbeat.sequence > current.sequence) else {
+            return HeartbeatOutcome::Stale;
         };
-        let mut evidence =
-            known.map_or_else(HeartbeatEvidence::default, |current| current.evidence);
-        evidence.add(now, self.heartbeat_interval);
-        let leaving = was_leaving || heartbeat.phase == HeartbeatPhase::Draining;
-        if evidence.is_sufficient() && !leaving {
-            self.departed.forget_unknown_start(&incarnation.instance);
+        current.update(heartbeat, now, self.heartbeat_interval);
+        self.on_current_updated();
+        HeartbeatOutcome::Accepted
+    }
+
+    /// Whether a single message of an incarnation shows that it is later than the current one.
+    fn replaces_current(&self, incarnation: &TargetIncarnation) -> bool {
+        let current = self.current.as_ref();
+        let is_later =
+            current.is_none_or(|current| incarnation.born_ms >= current.incarnation.born_ms);
+        is_later && !self.replaced.contains(incarnation)
+    }
+
+    fn replace_current(
+        &mut self,
+        heartbeat: &Heartbeat,
+        evidence: HeartbeatEvidence,
+        now: Instant,
+    ) {
+        let mut next = CurrentIncarnation::new(heartbeat, evidence, now, self.heartbeat_interval);
+        next.leaving |= self.departed.contains(&next.incarnation);
+        next.is_doubtful = self.departed.casts_doubt_on(&next.incarnation);
+        self.replaced
+            .retain(|replaced| *replaced != next.incarnation);
+        if let Some(previous) = self.current.replace(next) {
+            self.replaced.push_back(previous.incarnation);
+            if self.replaced.len() > MAX_REPLACED {
+                self.replaced.pop_front();
+            }
         }
-        if leaving && !was_leaving {
-            self.departed.record(incarnation.clone());
+        self.on_current_updated();
+    }
+
+    /// Adds a heartbeat of an incarnation that may be an earlier one to what shows that it is running, and
+    /// makes it the current one if that is enough.
+    fn add_to_candidate(&mut self, heartbeat: &Heartbeat, now: Instant) -> HeartbeatOutcome {
+        let interval = self.heartbeat_interval;
+        let candidate = self.candidate_for(heartbeat.incarnation());
+        let is_added = candidate.add_heartbeat(heartbeat, now, interval);
+        let (evidence, leaving) = (candidate.evidence, candidate.leaving);
+        if !is_added || !evidence.is_sufficient() {
+            return HeartbeatOutcome::Stale;
+        }
+        if leaving {
+            self.departed.record(heartbeat.incarnation());
         }
-        self.current = Some(CurrentIncarnation {
-            incarnation,
-            sequence: heartbeat.sequence,
-            slots: heartbeat.slots,
-            leaving,
-            version: heartbeat.version.clone(),
-            warm_up_end: now + heartbeat.warmup_left,
-            last_heartbeat: now,
-            heartbeat_deadline: now + self.heartbeat_interval * HEARTBEAT_TIMEOUT_INTERVALS,
-            evidence,
-            is_doubtful,
-        });
+        self.replace_current(heartbeat, evidence, now);
         HeartbeatOutcome::Accepted
     }
 
+    fn candidate_for(&mut self, incarnation: TargetIncarnation) -> &mut CandidateIncarnation {
+        let candidate = self.candidate.take();
+        let candidate = candidate.filter(|candidate| candidate.incarnation == incarnation);
+        let candidate = candidate.unwrap_or_else(|| CandidateIncarnation::new(incarnation));
+        self.candidate.insert(candidate)
+    }
+
+    /// Updates what depends on the current incarnation after one of its messages, which shows that no other
+    /// one is running.
+    fn on_current_updated(&mut self) {
+        self.candidate = None;
+        let Some(current) = &self.current else {
+            return;
+        };
+        if current.leaving {
+            self.departed.record(current.incarnation.clone());
+        } else if current.evidence.is_sufficient() {
+            let instance = &current.incarnation.instance;
+            self.departed.forget_unknown_start(instance);
+        }
+    }
+
     /// Handles a leave notice of an incarnation, of which no heartbeat may have arrived yet.
     ///
     /// If it started after the current incarnation of the instance, that one has ended and is taken out
-    /// of use. A notice that names no start concerns the current incarnation, and it may concern one that
-    /// isn't known yet: a single heartbeat of another start isn't believed.
-    pub fn on_leave_notice(&mut self, departing: TargetIncarnation) {
+    /// of use. If it may be an earlier one, nothing changes until its messages show that it is running.
+    /// A notice that names no start concerns the current incarnation, and it may concern one that isn't
+    /// known yet: a single heartbeat of another start isn't believed.
+    pub fn on_leave_notice(&mut self, departing: TargetIncarnation, now: Instant) {
+        let replaces_current = self.replaces_current(&departing);
         let current = self.current.as_mut();
         let current = current.filter(|current| current.incarnation.instance == departing.instance);
-        if let Some(current) = current {
-            if departing == current.incarnation || !departing.has_known_start() {
-                current.leaving = true;
-                self.departed.record(current.incarnation.clone());
-            } else if !current.incarnation.includes(&departing) {
-                current.withdraw();
-            }
+        let Some(current) = current else {
+            self.forget_candidate(&departing.instance);
+            self.departed.record(departing);
+            return;
+        };
+        if departing == current.incarnation || !departing.has_known_start() {
+            current.leaving = true;
+            self.departed.record(current.incarnation.clone());
+        } else if replaces_current {
+            current.withdraw();
+        } else if !self.departed.contains(&departing) && !self.shows_leave(&departing, now) {
+            return;
         }
+        self.forget_candidate(&departing.instance);
         self.departed.record(departing);
     }
 
+    /// Adds the leave notice of an incarnation that may be an earlier one to what shows that it is running;
+    /// returns whether that is enough. Then the current one has ended.
+    fn shows_leave(&mut self, departing: &TargetIncarnation, now: Instant) -> bool {
+        let interval = self.heartbeat_interval;
+        let candidate = self.candidate_for(departing.clone());
+        candidate.add_leave_notice(now, interval);
+        let is_shown = candidate.evidence.is_sufficient();
+        if let Some(current) = self.current.as_mut().filter(|_| is_shown) {
+            current.withdraw();
+        }
+        is_shown
+    }
+
+    fn forget_candidate(&mut self, instance: &str) {
+        let candidate = self.candidate.take();
+        self.candidate = candidate.filter(|candidate| candidate.incarnation.instance != instance);
+    }
+
     /// Handles a response in which the current incarnation says that it is leaving; returns whether
     /// that is new.
     pub fn on_leaving_response(&mut self) -> bool {
@@ -274,10 +231,7 @@
     /// backend server is running.
     pub fn on_answer(&mut self, now: Instant) {
         if let Some(current) = &mut self.current {
-            let latest =
-                current.last_heartbeat + self.heartbeat_interval * ANSWERING_TIMEOUT_INTERVALS;
-            let extended = (now + self.heartbeat_interval * 2).min(latest);
-            current.heartbeat_deadline = current.heartbeat_deadline.max(extended);
+            current.on_answer(now, self.heartbeat_interval);
         }
     }
 
@@ -289,9 +243,9 @@
 
     /// Incarnation that accepts requests, with its slots.
     pub fn serving(&self, now: Instant) -> Option<(&TargetIncarnation, u32)> {
-        let current = self.current.as_ref()?;
-        let serves = !current.leaving && current.is_believed() && now < current.heartbeat_deadline;
-        serves.then_some((&current.incarnation, current.slots))
+        let current = self.current.as_ref();
+        let current = current.filter(|current| current.accepts_requests(now))?;
+        Some((&current.incarnation, current.slots))
     }
 
     /// Incarnation that sent the newest heartbeat.
--- a/crates/sequoiagw-mesh/tests/mesh_core/departures.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core/departures.rs
@@ -106,7 +106,7 @@
     let heartbeat = own_heartbeat(&added, "press-3", 10);
     added.on_heartbeat(&heartbeat, now);
     let [first, second] = known;
-    let mut cores = [("c", added), first, second];
+    let mut cores = vec![("c", added), first, second];
     deliver_frames(&mut cores, now);
     assert_eq!(cores[0].1.own_registration().slots, 12);
 }
--- a/crates/sequoiagw-mesh/tests/target_monitor.rs
+++ b/crates/sequoiagw-mesh/tests/target_monitor.rs
@@ -116,9 +116,9 @@
     let now = Instant::now();
     let mut monitor = new_monitor();
     monitor.on_heartbeat(&heartbeat("a", 10, 1, HeartbeatPhase::Ready), now);
-    monitor.on_leave_notice(incarnation("another", 20));
+    monitor.on_leave_notice(incarnation("another", 20), now);
     assert!(monitor.serving(now).is_some());
-    monitor.on_leave_notice(incarnation("a", 10));
+    monitor.on_leave_notice(incarnation("a", 10), now);
     assert!(monitor.serving(now).is_none());
 }
 
@@ -129,7 +129,7 @@
     let now = Instant::now();
     let mut monitor = new_monitor();
     monitor.on_heartbeat(&heartbeat("a", 10, 4, HeartbeatPhase::Ready), now);
-    monitor.on_leave_notice(incarnation("a", 20));
+    monitor.on_leave_notice(incarnation("a", 20), now);
     assert!(monitor.serving(now).is_none(), "the start before has ended");
     assert_eq!(monitor.latest_departure(), Some(&incarnation("a", 20)));
     monitor.on_heartbeat(&heartbeat("a", 20, 1, HeartbeatPhase::Ready), now);
@@ -148,7 +148,7 @@
     let mut monitor = new_monitor();
     monitor.on_heartbeat(&heartbeat("a", 10, 4, HeartbeatPhase::Ready), now);
     monitor.on_heartbeat(&heartbeat("a", 20, 1, HeartbeatPhase::Ready), now);
-    monitor.on_leave_notice(incarnation("a", 10));
+    monitor.on_leave_notice(incarnation("a", 10), now);
     assert!(monitor.serving(now).is_some());
 }
 
@@ -159,7 +159,7 @@
     let now = Instant::now();
     let mut monitor = new_monitor();
     monitor.on_heartbeat(&heartbeat("a", 10, 4, HeartbeatPhase::Ready), now);
-    monitor.on_leave_notice(incarnation("a", 20));
+    monitor.on_leave_notice(incarnation("a", 20), now);
     monitor.on_heartbeat(&heartbeat("a", 10, 5, HeartbeatPhase::Ready), now);
     monitor.on_heartbeat(&heartbeat("a", 10, 6, HeartbeatPhase::Ready), now);
     assert!(monitor.serving(now).is_none(), "they were held up together");
@@ -173,7 +173,7 @@
 fn after_a_leave_notice_without_a_start_a_single_heartbeat_is_not_believed() {
     let now = Instant::now();
     let mut monitor = new_monitor();
-    monitor.on_leave_notice(incarnation("a", 0));
+    monitor.on_leave_notice(incarnation("a", 0), now);
     for born_ms in [10, u64::MAX] {
         monitor.on_heartbeat(&heartbeat("a", born_ms, 5, HeartbeatPhase::Ready), now);
         monitor.on_heartbeat(&heartbeat("a", born_ms, 6, HeartbeatPhase::Ready), now);
@@ -197,7 +197,7 @@
     let now = Instant::now();
     let mut monitor = new_monitor();
     monitor.on_heartbeat(&heartbeat("a", 10, 1, HeartbeatPhase::Ready), now);
-    monitor.on_leave_notice(incarnation("a", 0));
+    monitor.on_leave_notice(incarnation("a", 0), now);
     monitor.on_heartbeat(&heartbeat("a", 10, 2, HeartbeatPhase::Ready), now);
     let later = now + HEARTBEAT_INTERVAL;
     monitor.on_heartbeat(&heartbeat("a", 10, 3, HeartbeatPhase::Ready), later);
@@ -225,8 +225,9 @@
 /// Departures that others remember are older than those that this process was told.
 #[test]
 fn departure_that_was_told_last_is_the_latest() {
+    let now = Instant::now();
     let mut monitor = new_monitor();
-    monitor.on_leave_notice(incarnation("b", 20));
+    monitor.on_leave_notice(incarnation("b", 20), now);
     monitor.restore_departed(incarnation("a", 50));
     assert_eq!(monitor.latest_departure(), Some(&incarnation("b", 20)));
 }
@@ -265,7 +266,7 @@
     let now = Instant::now();
     let mut monitor = new_monitor();
     monitor.on_heartbeat(&heartbeat("a", 10, 3, HeartbeatPhase::Ready), now);
-    monitor.on_leave_notice(incarnation("b", 20));
+    monitor.on_leave_notice(incarnation("b", 20), now);
     assert!(monitor.serving(now).is_some(), "the other instance stays");
     monitor.on_heartbeat(&heartbeat("b", 20, 7, HeartbeatPhase::Ready), now);
     assert!(monitor.serving(now).is_none());
@@ -281,3 +282,95 @@
     monitor.on_heartbeat(&heartbeat("a", 60, 1, HeartbeatPhase::Ready), now);
     assert!(monitor.serving(now).is_some(), "a later start is in use");
 }
+
+/// DRAIN: after the clock was set back, the heartbeats of a new start counted as old ones: that it drains was
+/// acknowledged and had no effect.
+#[test]
+fn start_that_is_earlier_by_a_clock_that_was_set_back_replaces_the_one_before() {
+    for instance in ["a", "b"] {
+        let start = Instant::now();
+        let mut monitor = new_monitor();
+        monitor.on_heartbeat(&heartbeat("a", 50, 9, HeartbeatPhase::Ready), start);
+        let mut now = start;
+        for sequence in 1..=2 {
+            now += HEARTBEAT_INTERVAL;
+            let ready = heartbeat(instance, 30, sequence, HeartbeatPhase::Ready);
+            monitor.on_heartbeat(&ready, now);
+        }
+        let (serving, _) = monitor.serving(now).expect("the new start is in use");
+        assert_eq!(serving, &incarnation(instance, 30));
+        let draining = heartbeat(instance, 30, 3, HeartbeatPhase::Draining);
+        let outcome = monitor.on_heartbeat(&draining, now);
+        assert_eq!(outcome, HeartbeatOutcome::Accepted);
+        assert!(monitor.serving(now).is_none());
+        assert_eq!(monitor.leaving(), Some(&incarnation(instance, 30)));
+    }
+}
+
+/// DRAIN: late heartbeats of an earlier start must not replace the present one, nor may those of the start
+/// that was replaced.
+#[test]
+fn late_heartbeats_do_not_replace_the_present_start() {
+    let start = Instant::now();
+    let mut monitor = new_monitor();
+    monitor.on_heartbeat(&heartbeat("a", 50, 1, HeartbeatPhase::Ready), start);
+    // Held up together.
+    for sequence in 7..=9 {
+        let late = heartbeat("a", 30, sequence, HeartbeatPhase::Ready);
+        assert_eq!(monitor.on_heartbeat(&late, start), HeartbeatOutcome::Stale);
+    }
+    // The present start sends heartbeats meanwhile.
+    let mut now = start;
+    for sequence in 2..=5 {
+        now += HEARTBEAT_INTERVAL;
+        let present = heartbeat("a", 50, sequence, HeartbeatPhase::Ready);
+        monitor.on_heartbeat(&present, now);
+        let late = heartbeat("a", 30, 10 + sequence, HeartbeatPhase::Ready);
+        assert_eq!(monitor.on_heartbeat(&late, now), HeartbeatOutcome::Stale);
+    }
+    assert_eq!(monitor.incarnation(), Some(&incarnation("a", 50)));
+    for sequence in 16..=17 {
+        now += HEARTBEAT_INTERVAL;
+        let ready = heartbeat("a", 30, sequence, HeartbeatPhase::Ready);
+        monitor.on_heartbeat(&ready, now);
+    }
+    assert_eq!(monitor.incarnation(), Some(&incarnation("a", 30)));
+    let replaced = heartbeat("a", 50, 6, HeartbeatPhase::Ready);
+    assert_eq!(
+        monitor.on_heartbeat(&replaced, now),
+        HeartbeatOutcome::Stale
+    );
+    assert_eq!(monitor.incarnation(), Some(&incarnation("a", 30)));
+}
+
+/// DRAIN: a leave notice of a start that seems earlier binds as soon as it shows that this start is running, and
+/// isn't acknowledged before.
+#[test]
+fn leave_notice_that_is_repeated_shows_that_its_start_is_running() {
+    let now = Instant::now();
+    let mut monitor = new_monitor();
+    monitor.on_heartbeat(&heartbeat("a", 50, 9, HeartbeatPhase::Ready), now);
+    monitor.on_leave_notice(incarnation("a", 30), now);
+    assert!(
+        monitor.serving(now).is_some(),
+        "a late notice changes nothing"
+    );
+    assert_eq!(monitor.latest_departure(), None, "it isn't acknowledged");
+    let later = now + HEARTBEAT_INTERVAL;
+    monitor.on_leave_notice(incarnation("a", 30), later);
+    assert!(monitor.serving(later).is_none());
+    assert_eq!(monitor.latest_departure(), Some(&incarnation("a", 30)));
+}
+
+/// An instance that starts again after it left isn't barred by a clock that was set back meanwhile.
+#[test]
+fn instance_that_left_is_in_use_again_although_its_start_is_earlier() {
+    let now = Instant::now();
+    let mut monitor = new_monitor();
+    monitor.restore_departed(incarnation("a", 50));
+    monitor.on_heartbeat(&heartbeat("a", 30, 1, HeartbeatPhase::Ready), now);
+    assert!(monitor.serving(now).is_none(), "it may be from before");
+    let later = now + HEARTBEAT_INTERVAL;
+    monitor.on_heartbeat(&heartbeat("a", 30, 2, HeartbeatPhase::Ready), later);
+    assert!(monitor.serving(later).is_some());
+}
