Test of quotas: a workspace without demand has no next request

The property test draws a demand of 0 in one of 80 events; the time to the next request was then infinite, and the conversion panicked. Nothing that the test checks changes.

--- a/crates/sequoiagw-mesh/tests/quota_fleet/quota_fleet.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/quota_fleet.rs
@@ -34,6 +34,8 @@
 use crate::support;
 use crate::use_log::UseLog;
 
+/// Time until the next request of a workspace without demand, longer than any case.
+const NO_DEMAND_GAP: Duration = Duration::from_secs(24 * 60 * 60);
 /// Time from one node to another of the same data centre, and of another one.
 const LOCAL_LATENCY: Duration = Duration::from_micros(300);
 const REMOTE_LATENCY: Duration = Duration::from_micros(1700);
@@ -202,7 +204,8 @@
 
     fn next_arrival(&mut self, demand: &Demand) -> Instant {
         let uniform: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
-        self.now + Duration::from_secs_f64(-uniform.ln() / demand.rate_per_s)
+        let gap = Duration::try_from_secs_f64(-uniform.ln() / demand.rate_per_s);
+        self.now + gap.unwrap_or(NO_DEMAND_GAP)
     }
 
     fn next_tick(&mut self) -> Option<(Instant, usize)> {
