A notice without a start isn't acknowledged for an earlier start's departure

Now such a notice concerns the latest departure of its instance, and the store must have that one.

Evidence: earlier_departure_in_the_store_is_not_that_of_the_present_start failed before and passes.

--- a/crates/sequoiagw-mesh/src/core_departures.rs
+++ b/crates/sequoiagw-mesh/src/core_departures.rs
@@ -24,14 +24,16 @@
 const LATE_HEARTBEAT_LIMIT: Duration = Duration::from_secs(15);
 
 impl MeshCore {
-    /// Whether the store has the departure of an incarnation; if its start isn't known, that of any start of
-    /// the instance.
+    /// Whether the store has the departure of an incarnation. A notice that named no start concerns the latest
+    /// departure of its instance.
     pub fn is_departure_stored(&self, departing: &TargetIncarnation) -> bool {
-        let stored = self.stored_departure.as_ref();
-        stored.is_some_and(|stored| {
-            let names_instance = stored.instance == departing.instance;
-            stored == departing || names_instance && !departing.has_known_start()
-        })
+        let latest = self.target.latest_departure();
+        let latest = latest.filter(|latest| latest.instance == departing.instance);
+        let concerned = match latest {
+            Some(latest) if !departing.has_known_start() => latest,
+            _ => departing,
+        };
+        self.stored_departure.as_ref() == Some(concerned)
     }
 
     /// Whether calls to the store are known to fail.
--- a/crates/sequoiagw-mesh/tests/mesh_core/departures.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_core/departures.rs
@@ -244,3 +244,20 @@
     core.on_departure_stored(None);
     assert!(!core.is_departure_stored(&departing), "the lease has ended");
 }
+
+/// DRAIN: a notice without a start was acknowledged since the store had the departure of an earlier start of
+/// the instance.
+#[tokio::test(start_paused = true)]
+async fn earlier_departure_in_the_store_is_not_that_of_the_present_start() {
+    let now = Instant::now();
+    let mut core = core_with("a", &["a", "b"], now);
+    core.on_leave_notice(incarnation("press-1", 10), now);
+    core.on_departure_stored(Some(incarnation("press-1", 10)));
+    let restarted = own_heartbeat(&core, "press-1", 20);
+    core.on_heartbeat(&restarted, now);
+    let notice = incarnation("press-1", 0);
+    core.on_leave_notice(notice.clone(), now);
+    assert!(!core.is_departure_stored(&notice));
+    core.on_departure_stored(Some(incarnation("press-1", 20)));
+    assert!(core.is_departure_stored(&notice));
+}
