A status outside of 200 to 599 is no answer

What callers saw: a backend server in trouble sent an answer with status 000, and the caller got "HTTP/1.1 0 Other" with that server's signature. 001, 099, 600 and 999 were passed on alike, and a 200 that followed a 101. An answer with status 000 that also said "not run" was believed: the request ran twice and its caller got 503, which promises that it never ran. A write to the platform's store that was answered with 000 was reported as refused without effect. An idempotent request got the first broken answer with another backend server free.

Cause: httparse accepts any three digits as a status. The number was passed on as it was, and no place said which statuses are answers. The client of our own interface did the same with what hyper leaves over: 101 and 600 to 999.

Change: FinalStatus holds 200 to 599 only. Both clients build it where the parser's result is read, and BackendResult carries it. Anything else ends the exchange as an answer that broke off does: the connection is closed, nothing of the head is believed, and the caller gets 502, or another attempt if the request is idempotent. 101 is refused, as no request asks for an upgrade; other 1xx are skipped as before. The log line names the request and the reason, and answer_unreadable.REASON counts. ExchangeError tells an answer that ended early from one that can't be read, so the test of incomplete responses now names one of the two for each of its bytes.

--- a/crates/sequoiagw-http/src/http_connection.rs
+++ b/crates/sequoiagw-http/src/http_connection.rs
@@ -23,6 +23,7 @@
 use crate::BodyDecoder;
 use crate::BufferBudget;
 use crate::EncodedRequest;
+use crate::HttpParseError;
 use crate::HttpResponse;
 use crate::ResponseHead;
 
@@ -38,9 +39,12 @@
     /// complete, or timed out; the request may have run.
     #[error("the connection ended before a response")]
     Broken,
-    /// The response ended early or isn't valid.
-    #[error("the response ended early or isn't valid")]
+    /// The response ended early, or isn't the one to the request.
+    #[error("the response ended early")]
     Truncated,
+    /// The response isn't one in the protocol, or is larger than what can be read.
+    #[error("the response can't be read: {0}")]
+    Unreadable(#[from] HttpParseError),
 }
 
 /// Client connection to an HTTP server.
@@ -218,8 +222,7 @@
                 self.method,
                 MAX_HEAD_BYTES,
                 &mut self.interim_responses,
-            )
-            .map_err(|_| ExchangeError::Truncated)?;
+            )?;
             let Some(head) = head else {
                 return Ok(None);
             };
@@ -229,9 +232,7 @@
         let Some(decoder) = &mut self.decoder else {
             return Ok(None);
         };
-        let complete = decoder
-            .decode(buffer)
-            .map_err(|_| ExchangeError::Truncated)?;
+        let complete = decoder.decode(buffer)?;
         Ok(complete.then(|| self.take_response()).flatten())
     }
 
--- a/crates/sequoiagw-http/src/http_server.rs
+++ b/crates/sequoiagw-http/src/http_server.rs
@@ -256,7 +256,7 @@
 /// Reply to a request that can't be parsed, or for whose body there is no room.
 fn parse_error_reply(error: HttpParseError) -> HttpReply {
     let status = match error {
-        HttpParseError::Malformed => 400,
+        HttpParseError::Malformed | HttpParseError::InvalidStatus(_) => 400,
         HttpParseError::HeadTooLarge => 431,
         HttpParseError::BodyTooLarge => 413,
         HttpParseError::NoRoom => 503,
--- a/crates/sequoiagw-http/src/message_head.rs
+++ b/crates/sequoiagw-http/src/message_head.rs
@@ -2,7 +2,9 @@
 
 use bytes::Buf;
 use bytes::BytesMut;
+use sequoiagw_protocol::FinalStatus;
 use sequoiagw_protocol::HeaderField;
+use sequoiagw_protocol::StatusError;
 use thiserror::Error;
 
 /// Size of a head that fits most messages, in bytes; connections start with buffers of it.
@@ -11,6 +13,8 @@
 const MAX_HEADERS: usize = 96;
 /// Largest number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: usize = 32;
+/// Status of a switch to the protocol that a request asked for with `Upgrade`.
+const STATUS_SWITCHING_PROTOCOLS: u16 = 101;
 
 /// Headers that concern a single connection.
 const CONNECTION_HEADERS: &[&str] = &[
@@ -33,6 +37,9 @@
     /// The bytes aren't a valid HTTP/1.1 message.
     #[error("the bytes aren't an HTTP/1.1 message")]
     Malformed,
+    /// The status of a response is neither that of an interim response nor that of a final one.
+    #[error(transparent)]
+    InvalidStatus(#[from] StatusError),
     /// The head is over its limit in bytes or has too many headers.
     #[error("the head is larger than the limit")]
     HeadTooLarge,
@@ -44,6 +51,19 @@
     NoRoom,
 }
 
+impl HttpParseError {
+    /// Name of the reason in counters.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Malformed => "malformed",
+            Self::InvalidStatus(_) => "invalid_status",
+            Self::HeadTooLarge => "head_too_large",
+            Self::BodyTooLarge => "body_too_large",
+            Self::NoRoom => "no_room",
+        }
+    }
+}
+
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum BodyLength {
@@ -83,7 +103,7 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ResponseHead {
     /// Status.
-    pub status: u16,
+    pub status: FinalStatus,
     /// All headers in their order.
     pub headers: Vec<HeaderField>,
     /// Length of the body.
@@ -145,10 +165,11 @@
 }
 
 /// Removes the head of a response to a request with `method` from the buffer; `None` until it is
-/// complete. Interim responses (status 100 to 199) are skipped and added to `interim_responses`.
+/// complete. Interim responses (status 100 to 199) are skipped and added to `interim_responses`, but
+/// for 101: no request of this client asks for another protocol, and what follows that status isn't HTTP.
 ///
-/// Errors: the bytes aren't a valid response head or have too many headers, an incomplete head is
-/// over `max_bytes`, or there are too many interim responses.
+/// Errors: the bytes aren't a valid response head or have too many headers, their status isn't that of a
+/// response, an incomplete head is over `max_bytes`, or there are too many interim responses.
 pub fn parse_response(
     buffer: &mut BytesMut,
     method: &str,
@@ -167,7 +188,7 @@
         let status = parsed.code.unwrap_or_default();
         let headers = read_headers(parsed.headers)?;
         let version = parsed.version;
-        if (100..200).contains(&status) {
+        if is_interim(status) {
             *interim_responses += 1;
             if *interim_responses > MAX_INTERIM_RESPONSES {
                 return Err(HttpParseError::Malformed);
@@ -175,7 +196,8 @@
             buffer.advance(length);
             continue;
         }
-        let has_no_body = method == "HEAD" || matches!(status, 204 | 304);
+        let status = FinalStatus::try_from(status)?;
+        let has_no_body = method == "HEAD" || matches!(status.get(), 204 | 304);
         let body = if has_no_body {
             BodyLength::Sized(0)
         } else {
@@ -192,6 +214,11 @@
     }
 }
 
+/// Whether a response with this status precedes the final one.
+fn is_interim(status: u16) -> bool {
+    (100..200).contains(&status) && status != STATUS_SWITCHING_PROTOCOLS
+}
+
 fn read_headers(fields: &[httparse::Header<'_>]) -> Result<Vec<HeaderField>, HttpParseError> {
     let to_field = |field: &httparse::Header<'_>| {
         let value = std::str::from_utf8(field.value).map_err(|_| HttpParseError::Malformed)?;
--- a/crates/sequoiagw-http/tests/connections.rs
+++ b/crates/sequoiagw-http/tests/connections.rs
@@ -8,6 +8,7 @@
 use sequoiagw_http::BufferBudget;
 use sequoiagw_http::ExchangeError;
 use sequoiagw_http::HttpConnection;
+use sequoiagw_http::HttpParseError;
 use sequoiagw_http::HttpReply;
 use sequoiagw_http::HttpRequest;
 use sequoiagw_http::HttpResponse;
@@ -197,9 +198,15 @@
                 "HTTP/1.1 200 OK\r\nid: own\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n";
             let partial_head = "HTTP/1.1 200 OK\r\nid: o";
             let invalid_head = "\u{1}\u{2}\u{3} HTTP";
-            for bytes in [short_body, unfinished_chunks, partial_head, invalid_head] {
+            let malformed = ExchangeError::Unreadable(HttpParseError::Malformed);
+            for (bytes, expected) in [
+                (short_body, ExchangeError::Truncated),
+                (unfinished_chunks, ExchangeError::Truncated),
+                (partial_head, ExchangeError::Truncated),
+                (invalid_head, malformed),
+            ] {
                 let (result, reusable) = exchange(start_scripted_server(bytes, true).await).await;
-                assert_eq!(result.err(), Some(ExchangeError::Truncated), "{bytes}");
+                assert_eq!(result.err(), Some(expected), "{bytes}");
                 assert!(!reusable);
             }
             let (result, _) = exchange(start_scripted_server("", true).await).await;
--- a/crates/sequoiagw-mesh/src/core_rollout_calls.rs
+++ b/crates/sequoiagw-mesh/src/core_rollout_calls.rs
@@ -33,8 +33,6 @@
 /// Part of the exposure share that entries send to the driver's target. The rest is a margin for the
 /// differences between what entries see.
 const CANARY_SHARE_FRACTION: f64 = 0.6;
-/// Lowest status of responses that count as failures.
-const FAILURE_STATUS: u16 = 500;
 
 impl MeshCore {
     /// Updates everything that depends on the known roll-outs.
@@ -246,7 +244,7 @@
             return;
         };
         let failed = match result {
-            BackendResult::Answered { status, .. } => *status >= FAILURE_STATUS,
+            BackendResult::Answered { status, .. } => status.is_server_error(),
             BackendResult::Broken | BackendResult::Truncated | BackendResult::Crashed => true,
             BackendResult::Aborted if now >= open_run.deadline => false,
             BackendResult::Aborted
--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -18,6 +18,7 @@
 use sequoiagw_node::BackendNotice;
 use sequoiagw_node::CoreEvent;
 use sequoiagw_node::EventSender;
+use sequoiagw_node::NodeCounters;
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::RunId;
 use sequoiagw_policy::RunRequest;
@@ -63,6 +64,7 @@
     state: Rc<RefCell<ClientState>>,
     events: EventSender,
     budget: BufferBudget,
+    counters: NodeCounters,
 }
 
 impl BackendRuns for MeshBackend {
@@ -98,6 +100,7 @@
             state: Rc::default(),
             events,
             budget: BufferBudget::unlimited(),
+            counters: NodeCounters::default(),
         }
     }
 
@@ -108,6 +111,13 @@
         self
     }
 
+    /// Sets where answers that can't be read are counted.
+    #[must_use]
+    pub fn with_counters(mut self, counters: NodeCounters) -> Self {
+        self.counters = counters;
+        self
+    }
+
     fn finish(&self, run: RunId, result: BackendResult) {
         self.state.borrow_mut().runs.remove(&run);
         let event = CoreEvent::RunFinished(run, result);
@@ -153,10 +163,15 @@
                     request = %dispatch.request_id, method = %dispatch.method,
                     path = logged_path(&dispatch.path), error = %error, backend_ended, instance
                 );
+                if let ExchangeError::Unreadable(reason) = error {
+                    self.counters.count_unreadable_answer(reason.name());
+                }
                 match error {
                     _ if backend_ended => BackendResult::Crashed,
                     ExchangeError::Broken => BackendResult::Broken,
-                    ExchangeError::Truncated => BackendResult::Truncated,
+                    ExchangeError::Truncated | ExchangeError::Unreadable(_) => {
+                        BackendResult::Truncated
+                    }
                 }
             }
         }
@@ -254,14 +269,13 @@
     }
 
     fn read_response(&self, response: HttpResponse) -> BackendResult {
-        let status = response.head.status;
         // A response without an id may be a late one to another request, and then says nothing of
         // whether this one ran.
         let has_id = response.header(self.header_names.request_id).is_some();
         if has_id && response.header(self.header_names.not_run).is_some() {
             return BackendResult::Shed;
         }
-        if has_id && status == STATUS_MISDIRECTED {
+        if has_id && response.head.status == STATUS_MISDIRECTED {
             return BackendResult::Refused;
         }
         let is_valid = has_id
@@ -279,7 +293,7 @@
             .filter(|field| !is_connection_header(&field.name))
             .collect();
         BackendResult::Answered {
-            status,
+            status: response.head.status,
             headers,
             body: response.body,
         }
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -98,14 +98,16 @@
         links = links.with_grants(ReceivePacer::new(settings.link_mbps, budget.clone()));
     }
     let header_names = *dependencies.format.headers();
+    let counters = NodeCounters::default();
     let backend = MeshBackend::new(settings.backend.address, header_names, events)
-        .with_budget(budget.clone());
+        .with_budget(budget.clone())
+        .with_counters(counters.clone());
     info!(
         event = "node_started", node = %settings.name, data_centre = %settings.data_centre,
         service = %settings.backend.service, boot
     );
     let grace = settings.grace_period;
-    let core = MeshCore::new(settings, boot, NodeCounters::default());
+    let core = MeshCore::new(settings, boot, counters);
     let handle = MeshHandle::new(
         core,
         Box::new(links.clone()),
--- a/crates/sequoiagw-mesh/tests/fleet/rollout_backend.rs
+++ b/crates/sequoiagw-mesh/tests/fleet/rollout_backend.rs
@@ -15,6 +15,7 @@
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::RunId;
 use sequoiagw_policy::RunRequest;
+use sequoiagw_protocol::FinalStatus;
 use tokio::time::sleep;
 use tokio::time::Instant;
 
@@ -133,7 +134,7 @@
         let events = self.events.clone();
         backend.starts.borrow_mut().push(Instant::now());
         backend.open_runs.set(backend.open_runs.get() + 1);
-        let status = backend.status();
+        let status = FinalStatus::try_from(backend.status()).expect("a final status");
         tokio::task::spawn_local(async move {
             sleep(RUN_TIME).await;
             backend.open_runs.set(backend.open_runs.get() - 1);
--- a/crates/sequoiagw-mesh/tests/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_backend/main.rs
@@ -1,5 +1,7 @@
 //! What the client of the backend server takes from its connections.
 
+mod broken_answers;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
--- a/crates/sequoiagw-mesh/tests/workspaces/served_node.rs
+++ b/crates/sequoiagw-mesh/tests/workspaces/served_node.rs
@@ -168,7 +168,7 @@
             .exchange("POST", &request, MAX_ANSWER_BYTES, |_| true);
         let head = exchange.await.expect("a response").head;
         let delay = head.header("Retry-After").map(str::to_owned);
-        (head.status, delay)
+        (head.status.get(), delay)
     }
 }
 
--- a/crates/sequoiagw-node/src/backend_client.rs
+++ b/crates/sequoiagw-node/src/backend_client.rs
@@ -21,13 +21,14 @@
 use sequoiagw_policy::RunId;
 use sequoiagw_policy::RunRequest;
 use sequoiagw_protocol::CallDispatch;
+use sequoiagw_protocol::FinalStatus;
 use tokio::net::TcpStream;
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 use tokio::time::Instant;
-use tracing::info;
 
+use crate::answer_error::AnswerError;
 use crate::body_reader::read_body;
 use crate::http_headers::forwarded_headers;
 use crate::http_headers::NOT_RUN_HEADER;
@@ -37,6 +38,7 @@
 use crate::BackendClient;
 use crate::CoreEvent;
 use crate::EventSender;
+use crate::NodeCounters;
 
 /// Largest number of unused connections kept open to the backend server.
 const MAX_IDLE_CONNECTIONS: usize = 128;
@@ -81,6 +83,7 @@
     state: Rc<RefCell<BackendState>>,
     events: EventSender,
     budget: BufferBudget,
+    counters: NodeCounters,
 }
 
 impl HttpBackend {
@@ -90,6 +93,7 @@
             state: Rc::default(),
             events,
             budget: BufferBudget::unlimited(),
+            counters: NodeCounters::default(),
         }
     }
 
@@ -99,6 +103,13 @@
         self.budget = budget;
         self
     }
+
+    /// Sets where answers that can't be read are counted.
+    #[must_use]
+    pub fn with_counters(mut self, counters: NodeCounters) -> Self {
+        self.counters = counters;
+        self
+    }
 }
 
 impl BackendClient for HttpBackend {
@@ -106,11 +117,21 @@
         let state = Rc::clone(&self.state);
         let events = self.events.clone();
         let budget = self.budget.clone();
+        let counters = self.counters.clone();
         let address = address.to_owned();
         let run = request.run;
         let task = tokio::task::spawn_local(async move {
             let deadline = request.deadline;
-            let pending = send_call(&state, &address, &request.dispatch, &budget);
+            let pending = async {
+                let sent = send_call(&state, &address, &request.dispatch, &budget).await;
+                match sent {
+                    Ok(result) => result,
+                    Err(error) => {
+                        error.record(&request.dispatch.request_id, &counters);
+                        crashed_or(error.run_result(), &address).await
+                    }
+                }
+            };
             // At the deadline the connection is dropped, which cancels the request.
             let result = timeout_at(deadline, pending)
                 .await
@@ -135,34 +156,40 @@
     }
 }
 
+/// Sends a call and reads its answer.
+///
+/// Errors: the answer can't be read; the connection isn't used again.
 async fn send_call(
     state: &Rc<RefCell<BackendState>>,
     address: &str,
     dispatch: &CallDispatch,
     budget: &BufferBudget,
-) -> BackendResult {
+) -> Result<BackendResult, AnswerError> {
     let Some((mut sender, connection_use)) = take_connection(state, address).await else {
-        return BackendResult::Refused;
+        return Ok(BackendResult::Refused);
     };
     let Ok(request) = request_builder(address, dispatch).body(Full::new(dispatch.body.clone()))
     else {
-        return BackendResult::Refused;
+        return Ok(BackendResult::Refused);
     };
-    let Ok(response) = sender.send_request(request).await else {
-        return crashed_or(BackendResult::Broken, address).await;
+    let response = match sender.send_request(request).await {
+        Ok(response) => response,
+        Err(error) if error.is_parse() => return Err(AnswerError::Head(error)),
+        Err(_) => return Ok(crashed_or(BackendResult::Broken, address).await),
     };
+    let status = FinalStatus::try_from(response.status().as_u16())?;
     if is_refusal(&response) {
         // The connection isn't used again: the refusal may be written once more when its request is
         // sent again.
-        return read_refusal(&response, &dispatch.request_id, connection_use);
-    }
-    match read_answer(response, budget).await {
-        BackendResult::Truncated => crashed_or(BackendResult::Truncated, address).await,
-        result => {
-            return_connection(state, address, sender);
-            result
-        }
+        return Ok(read_refusal(
+            &response,
+            &dispatch.request_id,
+            connection_use,
+        ));
     }
+    let answer = read_answer(status, response, budget).await?;
+    return_connection(state, address, sender);
+    Ok(answer)
 }
 
 /// Takes an unused connection that is still usable, or opens a new one.
@@ -248,22 +275,20 @@
     }
 }
 
-async fn read_answer(response: Response<Incoming>, budget: &BufferBudget) -> BackendResult {
-    let status = response.status().as_u16();
+async fn read_answer(
+    status: FinalStatus,
+    response: Response<Incoming>,
+    budget: &BufferBudget,
+) -> Result<BackendResult, AnswerError> {
     let pairs = response
         .headers()
         .iter()
         .filter_map(|(name, value)| Some((name.as_str(), value.to_str().ok()?)));
     let headers = forwarded_headers(pairs);
-    match read_body(response.into_body(), MAX_ANSWER_BYTES, budget).await {
-        Ok(body) => BackendResult::Answered {
-            status,
-            headers,
-            body,
-        },
-        Err(error) => {
-            info!(event = "answer_unreadable", status, error = %error);
-            BackendResult::Truncated
-        }
-    }
+    let body = read_body(response.into_body(), MAX_ANSWER_BYTES, budget).await?;
+    Ok(BackendResult::Answered {
+        status,
+        headers,
+        body,
+    })
 }
--- a/crates/sequoiagw-node/src/crash_monitor.rs
+++ b/crates/sequoiagw-node/src/crash_monitor.rs
@@ -27,8 +27,6 @@
 const NEWS_DELAY: Duration = Duration::from_millis(5);
 /// Records from which on a message is a copy of a large table. A full table has no use for it.
 const LARGE_COPY_RECORDS: usize = 1024;
-/// Lowest status of a response that counts as a failure of the backend server.
-const STATUS_SERVER_ERROR: u16 = 500;
 
 /// Process of the backend server whose end was seen.
 #[derive(Clone, Copy, Debug)]
@@ -119,7 +117,7 @@
             BackendResult::Answered { status, .. } => {
                 self.on_response(run, now);
                 // Entries remember what ran well; here it only matters for requests with records.
-                if *status < STATUS_SERVER_ERROR && !self.table.is_empty() {
+                if !status.is_server_error() && !self.table.is_empty() {
                     for variant in identity.variants() {
                         self.on_ran_well(variant.digest(), now);
                     }
--- a/crates/sequoiagw-node/src/node_counters.rs
+++ b/crates/sequoiagw-node/src/node_counters.rs
@@ -74,6 +74,11 @@
         self.count(&format!("refused.{reason}"));
     }
 
+    /// Counts an answer of a backend server that can't be read, under its reason.
+    pub fn count_unreadable_answer(&self, reason: &str) {
+        self.count(&format!("answer_unreadable.{reason}"));
+    }
+
     /// Adds the bytes of a sent or received frame to the counter of its kind.
     pub fn add_frame_bytes(&self, kind: FrameKind, bytes: usize) {
         self.add(byte_counter_name(kind), bytes as u64);
--- a/crates/sequoiagw-node/src/node_process.rs
+++ b/crates/sequoiagw-node/src/node_process.rs
@@ -75,7 +75,11 @@
             settings.store_call_timeout(),
         )),
         links: Box::new(links.clone()),
-        backend: Box::new(HttpBackend::new(events.clone()).with_budget(budget)),
+        backend: Box::new(
+            HttpBackend::new(events.clone())
+                .with_budget(budget)
+                .with_counters(counters.clone()),
+        ),
     };
     let handle = NodeHandle::new(identity, dependencies, events, counters);
     let caller_server = CallerServer::new(handle.clone()).with_budget(caller_budget);
--- a/crates/sequoiagw-node/tests/backend_client.rs
+++ b/crates/sequoiagw-node/tests/backend_client/main.rs
@@ -1,4 +1,6 @@
-//! What the client of the backend server takes for a refusal.
+//! What the client of the backend server takes for a refusal or an answer.
+
+mod broken_answers;
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -50,14 +52,14 @@
 
 /// Starts a server that answers a request with a text and closes the connection. It goes on listening,
 /// so that a node sees that it lives.
-async fn start_closing_server(text: &'static str) -> SocketAddr {
+async fn start_closing_server(text: Vec<u8>) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("an address");
     tokio::task::spawn_local(async move {
         while let Ok((mut stream, _)) = listener.accept().await {
             let mut part = [0; 2048];
             if stream.read(&mut part).await.unwrap_or_default() > 0 {
-                let _ = stream.write_all(text.as_bytes()).await;
+                let _ = stream.write_all(&text).await;
             }
         }
     });
@@ -155,7 +157,7 @@
                 for length in 0..text.len() {
                     let (sender, mut events) = mpsc::unbounded_channel();
                     let backend = HttpBackend::new(sender);
-                    let address = start_closing_server(&text[..length]).await;
+                    let address = start_closing_server(text[..length].into()).await;
                     let result = run(&backend, address, &mut events).await;
                     assert!(
                         matches!(result, BackendResult::Broken | BackendResult::Truncated),
--- a/crates/sequoiagw-node/tests/held_requests.rs
+++ b/crates/sequoiagw-node/tests/held_requests.rs
@@ -26,6 +26,7 @@
 use sequoiagw_protocol::CallOutcome;
 use sequoiagw_protocol::CrashRecords;
 use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::FinalStatus;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::RankLevel;
@@ -202,7 +203,7 @@
         (
             2,
             BackendResult::Answered {
-                status: 200,
+                status: FinalStatus::OK,
                 headers: Vec::new(),
                 body: bytes::Bytes::new(),
             },
--- a/crates/sequoiagw-policy/src/owner_call.rs
+++ b/crates/sequoiagw-policy/src/owner_call.rs
@@ -6,6 +6,7 @@
 use sequoiagw_protocol::CallDispatch;
 use sequoiagw_protocol::CallOutcome;
 use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::FinalStatus;
 use sequoiagw_protocol::HeaderField;
 use sequoiagw_protocol::ServedAnswer;
 use tokio::time::Instant;
@@ -30,7 +31,7 @@
     /// The backend server sent a complete answer.
     Answered {
         /// HTTP status code.
-        status: u16,
+        status: FinalStatus,
         /// HTTP headers.
         headers: Vec<HeaderField>,
         /// Complete body.
@@ -42,7 +43,7 @@
     Refused,
     /// The connection failed after part of the request was sent.
     Broken,
-    /// The answer ended before its announced length.
+    /// The answer ended before its announced length, or isn't one in the protocol.
     Truncated,
     /// The connection failed after part of the request was sent, because the process of the backend
     /// server has ended.
@@ -67,7 +68,7 @@
                 headers,
                 body,
             } => CallOutcome::Served(ServedAnswer {
-                status: u32::from(status),
+                status: u32::from(status.get()),
                 headers,
                 length: body.len() as u64,
                 body,
--- a/crates/sequoiagw-policy/tests/fault_simulation/mod.rs
+++ b/crates/sequoiagw-policy/tests/fault_simulation/mod.rs
@@ -24,6 +24,7 @@
 use sequoiagw_policy::TargetInfo;
 use sequoiagw_protocol::CallAnswer;
 use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::FinalStatus;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::KeyClaim;
 use sequoiagw_protocol::NodeId;
@@ -268,7 +269,7 @@
                     } else {
                         let body = Bytes::from(id);
                         BackendResult::Answered {
-                            status: 200,
+                            status: FinalStatus::OK,
                             headers: Vec::new(),
                             body,
                         }
--- a/crates/sequoiagw-policy/tests/mesh_simulation/mod.rs
+++ b/crates/sequoiagw-policy/tests/mesh_simulation/mod.rs
@@ -22,6 +22,7 @@
 use sequoiagw_policy::RunId;
 use sequoiagw_policy::SlotRule;
 use sequoiagw_policy::TargetInfo;
+use sequoiagw_protocol::FinalStatus;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::RankLevel;
@@ -253,7 +254,7 @@
             for run in due_runs {
                 owner.runs.remove(&run);
                 let answered = BackendResult::Answered {
-                    status: 200,
+                    status: FinalStatus::OK,
                     headers: Vec::new(),
                     body: Bytes::new(),
                 };
--- a/crates/sequoiagw-policy/tests/overload/excess_calls.rs
+++ b/crates/sequoiagw-policy/tests/overload/excess_calls.rs
@@ -6,6 +6,7 @@
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::OwnerAction;
 use sequoiagw_policy::OwnerMachine;
+use sequoiagw_protocol::FinalStatus;
 use sequoiagw_protocol::NodeId;
 use tokio::time::Instant;
 
@@ -138,7 +139,7 @@
         panic!("the call should start at once");
     };
     let answered = BackendResult::Answered {
-        status: 200,
+        status: FinalStatus::OK,
         headers: Vec::new(),
         body: Bytes::from(vec![0; 90_000]),
     };
--- a/crates/sequoiagw-policy/tests/overload/request_limits.rs
+++ b/crates/sequoiagw-policy/tests/overload/request_limits.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::OwnerAction;
+use sequoiagw_protocol::FinalStatus;
 use sequoiagw_protocol::NodeId;
 use tokio::time::Instant;
 
@@ -76,7 +77,7 @@
             starts += 1;
             owner.set_start_rate(Some(LIMIT), now);
             let answered = BackendResult::Answered {
-                status: 200,
+                status: FinalStatus::OK,
                 headers: Vec::new(),
                 body: Bytes::new(),
             };
--- a/crates/sequoiagw-policy/tests/overload/target_simulation.rs
+++ b/crates/sequoiagw-policy/tests/overload/target_simulation.rs
@@ -12,6 +12,7 @@
 use sequoiagw_policy::SlotRule;
 use sequoiagw_protocol::CallDispatch;
 use sequoiagw_protocol::CallOutcome;
+use sequoiagw_protocol::FinalStatus;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::WaitLimit;
 use tokio::time::Instant;
@@ -130,7 +131,7 @@
         for run in finished {
             runs.remove(&run);
             let answered = BackendResult::Answered {
-                status: 200,
+                status: FinalStatus::OK,
                 headers: Vec::new(),
                 body: Bytes::new(),
             };
--- a/crates/sequoiagw-policy/tests/owner_machine.rs
+++ b/crates/sequoiagw-policy/tests/owner_machine.rs
@@ -14,6 +14,7 @@
 use sequoiagw_protocol::CallOutcome;
 use sequoiagw_protocol::CallQuery;
 use sequoiagw_protocol::ErrorKind;
+use sequoiagw_protocol::FinalStatus;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::RankLevel;
 use tokio::time::Instant;
@@ -38,7 +39,7 @@
 
 fn answered_result() -> BackendResult {
     BackendResult::Answered {
-        status: 200,
+        status: FinalStatus::OK,
         headers: Vec::new(),
         body: Bytes::new(),
     }
--- a/crates/sequoiagw-protocol/src/error_kind.rs
+++ b/crates/sequoiagw-protocol/src/error_kind.rs
@@ -100,8 +100,8 @@
     /// The owner received a query or cancellation before the call itself, and fenced the call so that
     /// it doesn't run.
     CallBarred = 13 => 503, No, true, "call_barred", "The dispatch was lost on its way and is barred; retry.";
-    /// The response was shorter than its announced length.
-    AnswerTruncated = 14 => 502, Unknown, false, "answer_truncated", "The answer broke off; check the call's effect before you retry.";
+    /// The response was shorter than its announced length, or isn't one in the protocol.
+    AnswerTruncated = 14 => 502, Unknown, false, "answer_truncated", "The answer broke off or isn't valid; check the call's effect before you retry.";
     /// The connection to the backend server broke after the request was sent.
     BackendBroken = 15 => 502, Unknown, false, "backend_broken", "The backend server's connection broke; check the call's effect before you retry.";
     /// The backend server refused the connection.
--- a/crates/sequoiagw-standin/src/memory_backend.rs
+++ b/crates/sequoiagw-standin/src/memory_backend.rs
@@ -11,6 +11,7 @@
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::RunId;
 use sequoiagw_policy::RunRequest;
+use sequoiagw_protocol::FinalStatus;
 use tokio::task::AbortHandle;
 
 use crate::BackendModel;
@@ -51,7 +52,7 @@
             };
             let result = match model.serve(id, &dispatch.path).await {
                 ModelAnswer::Answered(body) => BackendResult::Answered {
-                    status: 200,
+                    status: FinalStatus::OK,
                     headers: Vec::new(),
                     body: Bytes::from(body),
                 },
