A body with broken chunks or trailers isn't a whole one

What callers saw: a backend server's body was passed on with 200 and that server's signature although its framing was broken: a blank before a chunk's size, a control byte or line feed in an extension, a trailer that is no field.

Cause: the decoder took each line as text, cut it at the first semicolon and trimmed whatever Unicode counts as white space. What stood behind the semicolon wasn't looked at, and trailers were skipped up to an empty line. The head is checked by a parser; nobody checked the rest.

Change: a chunk's line is digits, then blanks and extensions without control bytes (RFC 9112, section 7.1). Trailers go through httparse and the check of line ends, as heads do. Lines are bytes, so extensions and trailers with bytes from 0x80, which are allowed, are no longer refused. The decoder also reads requests: a caller that sends such chunks gets 400.

--- a/crates/sequoiagw-http/src/body_decoder.rs
+++ b/crates/sequoiagw-http/src/body_decoder.rs
@@ -4,16 +4,18 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
+use crate::message_head::has_bare_line_feed;
+use crate::message_head::MAX_HEADERS;
 use crate::BodyLength;
 use crate::BufferBudget;
 use crate::BufferReservation;
 use crate::HttpParseError;
 
-/// Largest unfinished chunk size line or trailer line, in bytes.
+/// Largest unfinished chunk size line, in bytes.
 const MAX_CHUNK_LINE_BYTES: usize = 1024;
 /// Largest number of bytes of a body that one read asks for.
 const MAX_READ_BYTES: usize = 16 * 1024;
-/// Largest trailer, in bytes without line breaks.
+/// Largest trailer, in bytes.
 const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
 /// What a decoder expects next.
@@ -25,7 +27,7 @@
     ChunkSize,
     /// The line break after the data of a chunk.
     ChunkEnd,
-    /// Trailer lines up to an empty line.
+    /// Trailer fields up to an empty line.
     Trailer,
     /// Data up to the end of the connection.
     UntilClose,
@@ -41,7 +43,6 @@
     body: BytesMut,
     reservation: BufferReservation,
     limit: u64,
-    trailer_bytes: usize,
 }
 
 impl BodyDecoder {
@@ -59,14 +60,14 @@
             body: BytesMut::new(),
             reservation: budget.reservation(),
             limit,
-            trailer_bytes: 0,
         }
     }
 
     /// Moves the bytes of the body out of the buffer and returns whether the body is complete.
     /// Bytes after the body stay in the buffer; trailers are discarded.
     ///
-    /// Errors: the body is larger than its limit, there is no room for it, or its chunks aren't valid.
+    /// Errors: the body is larger than its limit, there is no room for it, or its chunks or trailers
+    /// aren't valid.
     pub fn decode(&mut self, buffer: &mut BytesMut) -> Result<bool, HttpParseError> {
         loop {
             let progressed = match self.state {
@@ -151,10 +152,7 @@
         let Some(line) = take_line(buffer)? else {
             return Ok(false);
         };
-        let digits = line.split(';').next().unwrap_or_default().trim();
-        let valid = !digits.is_empty() && digits.bytes().all(|b| b.is_ascii_hexdigit());
-        let size = u64::from_str_radix(digits, 16).ok().filter(|_| valid);
-        self.state = match size.ok_or(HttpParseError::Malformed)? {
+        self.state = match chunk_size(&line).ok_or(HttpParseError::Malformed)? {
             0 => DecoderState::Trailer,
             size if size > self.limit => return Err(HttpParseError::BodyTooLarge),
             size => DecoderState::Bytes(size),
@@ -175,22 +173,23 @@
     }
 
     fn read_trailer(&mut self, buffer: &mut BytesMut) -> Result<bool, HttpParseError> {
-        let Some(line) = take_line(buffer)? else {
-            return Ok(false);
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let length = match httparse::parse_headers(buffer, &mut fields) {
+            Ok(httparse::Status::Complete((length, _))) => length,
+            Ok(httparse::Status::Partial) if buffer.len() <= MAX_TRAILER_BYTES => return Ok(false),
+            Ok(httparse::Status::Partial) | Err(_) => return Err(HttpParseError::Malformed),
         };
-        if line.is_empty() {
-            self.state = DecoderState::Complete;
-        }
-        self.trailer_bytes += line.len();
-        if self.trailer_bytes > MAX_TRAILER_BYTES {
+        if has_bare_line_feed(&buffer[..length]) {
             return Err(HttpParseError::Malformed);
         }
+        buffer.advance(length);
+        self.state = DecoderState::Complete;
         Ok(true)
     }
 }
 
 /// Removes a line and its line break from the buffer; `None` until the line is complete.
-fn take_line(buffer: &mut BytesMut) -> Result<Option<String>, HttpParseError> {
+fn take_line(buffer: &mut BytesMut) -> Result<Option<BytesMut>, HttpParseError> {
     let Some(end) = buffer.windows(2).position(|pair| pair == b"\r\n") else {
         if buffer.len() > MAX_CHUNK_LINE_BYTES {
             return Err(HttpParseError::Malformed);
@@ -199,6 +198,25 @@
     };
     let line = buffer.split_to(end);
     buffer.advance(2);
-    let line = std::str::from_utf8(&line).map_err(|_| HttpParseError::Malformed)?;
-    Ok(Some(line.to_owned()))
+    Ok(Some(line))
+}
+
+/// Size of a chunk in bytes, from its line (RFC 9112, section 7.1). Extensions are ignored, but must be
+/// text: a line break in them is none to this decoder and may be one to others.
+fn chunk_size(line: &[u8]) -> Option<u64> {
+    let digit_count = line
+        .iter()
+        .take_while(|byte| byte.is_ascii_hexdigit())
+        .count();
+    let (digits, rest) = line.split_at(digit_count);
+    let starts_extension = matches!(rest.trim_ascii_start().first(), None | Some(b';'));
+    if !starts_extension || !rest.iter().all(|&byte| is_text_byte(byte)) {
+        return None;
+    }
+    u64::from_str_radix(std::str::from_utf8(digits).ok()?, 16).ok()
+}
+
+/// Whether a byte may stand in an extension: no control byte but the tab.
+fn is_text_byte(byte: u8) -> bool {
+    byte == b'\t' || !byte.is_ascii_control()
 }
--- a/crates/sequoiagw-http/src/message_head.rs
+++ b/crates/sequoiagw-http/src/message_head.rs
@@ -10,7 +10,7 @@
 /// Size of a head that fits most messages, in bytes; connections start with buffers of it.
 pub(crate) const USUAL_HEAD_BYTES: usize = 1024;
 /// Largest number of headers of a message.
-const MAX_HEADERS: usize = 96;
+pub(crate) const MAX_HEADERS: usize = 96;
 /// Largest number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: usize = 32;
 /// Status of a switch to the protocol that a request asked for with `Upgrade`.
@@ -219,7 +219,7 @@
 
 /// Whether a line ends without a carriage return. `httparse` takes a line feed at the start of a field's
 /// name for the end of the head, and the fields behind it for the body.
-fn has_bare_line_feed(head: &[u8]) -> bool {
+pub(crate) fn has_bare_line_feed(head: &[u8]) -> bool {
     let starts_with_it = head.first() == Some(&b'\n');
     starts_with_it
         || head
--- a/crates/sequoiagw-http/tests/response_verdicts.rs
+++ b/crates/sequoiagw-http/tests/response_verdicts.rs
@@ -170,3 +170,78 @@
         }
     }
 }
+
+/// Response whose body is sent in chunks, as these bytes.
+fn chunked(body: &[u8]) -> Vec<u8> {
+    let head: &[u8] = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    [head, body].concat()
+}
+
+/// MIXED: a body was taken for whole although its chunks weren't valid.
+#[test]
+fn chunks_that_are_not_valid_are_refused() {
+    let mut bodies: Vec<Vec<u8>> = [
+        // Sizes.
+        " 2\r\nok\r\n0\r\n\r\n",
+        "\t2\r\nok\r\n0\r\n\r\n",
+        "\u{b}2\r\nok\r\n0\r\n\r\n",
+        "2\u{c}\r\nok\r\n0\r\n\r\n",
+        "2\u{a0}\r\nok\r\n0\r\n\r\n",
+        "+2\r\nok\r\n0\r\n\r\n",
+        "-2\r\nok\r\n0\r\n\r\n",
+        "0x2\r\nok\r\n0\r\n\r\n",
+        "2 0\r\nok\r\n0\r\n\r\n",
+        "\r\nok\r\n0\r\n\r\n",
+        ";a\r\nok\r\n0\r\n\r\n",
+        "g\r\nok\r\n0\r\n\r\n",
+        "2,\r\nok\r\n0\r\n\r\n",
+        "11111111111111112\r\nok\r\n0\r\n\r\n",
+        "2\nok\r\n0\r\n\r\n",
+        "2\rok\r\n0\r\n\r\n",
+        "2\r\nok\n0\r\n\r\n",
+        "2\r\nok0\r\n\r\n",
+        "1\r\nok\r\n0\r\n\r\n",
+        // Extensions.
+        "2;a\nb\r\nok\r\n0\r\n\r\n",
+        "2;a\rb\r\nok\r\n0\r\n\r\n",
+        // Trailers.
+        "2\r\nok\r\n0\r\nSum\r\n\r\n",
+        "2\r\nok\r\n0\r\n: 1\r\n\r\n",
+        "2\r\nok\r\n0\r\nSum : 1\r\n\r\n",
+        "2\r\nok\r\n0\r\nS um: 1\r\n\r\n",
+        "2\r\nok\r\n0\r\n Sum: 1\r\n\r\n",
+        "2\r\nok\r\n0\r\nSum: 1\r\n folded\r\n\r\n",
+        "2\r\nok\r\n0\r\nSum: 1\nNext: 1\r\n\r\n",
+        "2\r\nok\r\n0\r\nSum: 1\rNext: 1\r\n\r\n",
+        "2\r\nok\r\n0\r\n\nSum: 1\r\n\r\n",
+    ]
+    .iter()
+    .map(|body| body.as_bytes().to_vec())
+    .collect();
+    let controls = (0..=255u8).filter(|byte| byte.is_ascii_control() && *byte != b'\t');
+    for byte in controls {
+        bodies.push([b"2;a", &[byte][..], b"b\r\nok\r\n0\r\n\r\n"].concat());
+        bodies.push([b"2\r\nok\r\n0;a", &[byte][..], b"b\r\n\r\n"].concat());
+        bodies.push([b"2\r\nok\r\n0\r\nS", &[byte][..], b"um: 1\r\n\r\n"].concat());
+        bodies.push([b"2\r\nok\r\n0\r\nSum: 1", &[byte][..], b"2\r\n\r\n"].concat());
+    }
+    assert_refused(bodies.iter().map(|body| chunked(body)));
+}
+
+/// A check of chunks must not refuse what a server may send.
+#[test]
+fn valid_chunks_are_read() {
+    for body in [
+        &b"2\r\nok\r\n0\r\n\r\n"[..],
+        b"0002\r\nok\r\n000\r\n\r\n",
+        b"1\r\no\r\n1\r\nk\r\n0\r\n\r\n",
+        b"2 \t\r\nok\r\n0 \r\n\r\n",
+        b"2;a\r\nok\r\n0;b\r\n\r\n",
+        b"2 ; a = \"b;\\\"c\t\xe9\" ;d=e\r\nok\r\n0\r\n\r\n",
+        b"2\r\nok\r\n0\r\nSum: 1\r\nNext:\r\nOther: \xe9\xff\r\n\r\n",
+        b"2\r\nok\r\n0\r\nContent-Length: 9\r\n\r\n",
+    ] {
+        let read = read_response(&chunked(body));
+        assert_eq!(read, Some((200, b"ok".to_vec())), "{}", body.escape_ascii());
+    }
+}
