Chunks in a response of HTTP/1.0 are refused

What callers saw: a backend server answered in HTTP/1.0 with a body in chunks, and the caller got 200, that server's signature and the decoded body.

Cause: the body's length was read from the fields alone; the version was used for the connection's state only. HTTP/1.0 has no chunks, so its recipient has to treat such framing as faulty (RFC 9112, section 6.1).

Change: such a head is refused.

HTTP/1.0 answers without chunks are passed on as before.

--- a/crates/sequoiagw-http/src/message_head.rs
+++ b/crates/sequoiagw-http/src/message_head.rs
@@ -13,6 +13,8 @@
 pub(crate) const MAX_HEADERS: usize = 96;
 /// Largest number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: usize = 32;
+/// Minor version of HTTP/1.0, which has no chunks and closes each connection unless told otherwise.
+const HTTP_1_0_MINOR_VERSION: u8 = 0;
 /// Status of a switch to the protocol that a request asked for with `Upgrade`.
 const STATUS_SWITCHING_PROTOCOLS: u16 = 101;
 
@@ -206,6 +208,9 @@
         } else {
             stated_length(&headers)?.unwrap_or(BodyLength::UntilClose)
         };
+        if version == Some(HTTP_1_0_MINOR_VERSION) && body == BodyLength::Chunked {
+            return Err(HttpParseError::Malformed);
+        }
         let keep_alive = keeps_alive(version, &headers) && body != BodyLength::UntilClose;
         buffer.advance(length);
         return Ok(Some(ResponseHead {
@@ -278,7 +283,7 @@
             .flat_map(|field| field.value.split(','))
             .any(|token| token.trim().eq_ignore_ascii_case(option))
     };
-    if version == Some(0) {
+    if version == Some(HTTP_1_0_MINOR_VERSION) {
         return has_option("keep-alive");
     }
     !has_option("close")
--- a/crates/sequoiagw-http/tests/response_verdicts.rs
+++ b/crates/sequoiagw-http/tests/response_verdicts.rs
@@ -245,3 +245,41 @@
         assert_eq!(read, Some((200, b"ok".to_vec())), "{}", body.escape_ascii());
     }
 }
+
+/// MIXED: HTTP/1.0 has no chunks, so a body that is sent in them has no known end.
+#[test]
+fn chunks_in_a_response_of_an_earlier_version_are_refused() {
+    let chunked = "Transfer-Encoding: chunked\r\n";
+    let body = "\r\n2\r\nok\r\n0\r\n\r\n";
+    let fields = ["", "Connection: keep-alive\r\n", "Content-Length: 12\r\n"];
+    assert_refused(
+        fields.map(|field| format!("HTTP/1.0 200 OK\r\n{field}{chunked}{body}").into_bytes()),
+    );
+}
+
+#[test]
+fn lengths_that_contradict_each_other_or_are_no_numbers_are_refused() {
+    let framings = [
+        "Content-Length: 2\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: chunked\r\nContent-Length: 2",
+        "Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked",
+        "Transfer-Encoding: gzip, chunked",
+        "Transfer-Encoding: chunked, gzip",
+        "Transfer-Encoding: gzip",
+        "Transfer-Encoding: identity",
+        "Transfer-Encoding: chunked;a=b",
+        "Transfer-Encoding:",
+        "Content-Length: 2\r\nContent-Length: 3",
+        "Content-Length: 2, 3",
+        "Content-Length: +2",
+        "Content-Length: -2",
+        "Content-Length: 0x2",
+        "Content-Length: 2 2",
+        "Content-Length: 2.0",
+        "Content-Length: 18446744073709551616",
+        "Content-Length:",
+    ];
+    assert_refused(
+        framings.map(|framing| format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\nok").into_bytes()),
+    );
+}
