An entry checks the status in another node's answer

What callers would have seen: while nodes of an earlier version are in the fleet, what their backend servers send with status 000 or 600 reaches the callers of new nodes with the server's signature. Not seen in real processes: shown by tests of the entry.

Cause: the status crosses between nodes as a number, and the entry took it over unchecked, cut to 16 bits for the reply.

Change: CallerAnswer holds a FinalStatus and a body of the length that the owner states, and is built where the owner's message is read; later readers need no check. Another status fails the call as a body of another length does: AnswerTruncated, 502, another attempt if the call is idempotent. The event answer_unreadable names the request, the owner and the reason, and is counted.

Evidence: answer_without_a_valid_status_is_not_delivered and idempotent_call_is_sent_to_another_owner_after_such_an_answer failed on the code before with status 0: delivered. Both pass now for 0, 1, 99, 100, 101, 600, 999, 65536 and 65736, and answers_with_the_lowest_and_highest_valid_status_are_delivered passes before and after.

--- a/crates/sequoiagw-mesh/src/call_log.rs
+++ b/crates/sequoiagw-mesh/src/call_log.rs
@@ -4,10 +4,10 @@
 
 use sequoiagw_node::outcome_name;
 use sequoiagw_node::PlacementLogFields;
+use sequoiagw_policy::CallerAnswer;
 use sequoiagw_policy::CallerReply;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::RankLevel;
-use sequoiagw_protocol::ServedAnswer;
 use sequoiagw_telemetry::is_sampled;
 use sequoiagw_telemetry::LatencySeries;
 use sequoiagw_telemetry::REQUEST_LOG_TARGET;
@@ -43,7 +43,7 @@
         let placement = || PlacementLogFields::new(reply.placement, name_of);
         match &reply.outcome {
             Err(kind) => self.log_refusal(*kind, reply, &placement(), total),
-            Ok(answer) if answer.status >= 500 || is_sampled(self.request_id) => {
+            Ok(answer) if answer.status.is_server_error() || is_sampled(self.request_id) => {
                 self.log_answer(answer, reply, &placement(), total);
             }
             Ok(_) => {}
@@ -93,14 +93,14 @@
 
     fn log_answer(
         &self,
-        answer: &ServedAnswer,
+        answer: &CallerAnswer,
         reply: &CallerReply,
         placement: &PlacementLogFields,
         total: Duration,
     ) {
         info!(
             target: REQUEST_LOG_TARGET,
-            event = "call_served", request = self.request_id, status = answer.status,
+            event = "call_served", request = self.request_id, status = answer.status.get(),
             tries = reply.attempts, route = %self.route.name, rank = %self.level,
             allowed_ms = self.timeout.as_millis() as u64, total_ms = total.as_millis() as u64,
             wait_ms = reply.slot_wait.as_millis() as u64, run_ms = reply.occupancy.as_millis() as u64,
--- a/crates/sequoiagw-mesh/src/caller_server.rs
+++ b/crates/sequoiagw-mesh/src/caller_server.rs
@@ -174,7 +174,7 @@
         log.finish(&reply, &self.handle);
         match reply.outcome {
             Ok(answer) => HttpReply {
-                status: answer.status as u16,
+                status: answer.status.get(),
                 headers: answer.headers,
                 body: answer.body,
             },
--- a/crates/sequoiagw-node/src/caller_response.rs
+++ b/crates/sequoiagw-node/src/caller_response.rs
@@ -7,10 +7,10 @@
 use hyper::header::RETRY_AFTER;
 use hyper::Response;
 use hyper::StatusCode;
+use sequoiagw_policy::CallerAnswer;
 use sequoiagw_policy::CallerReply;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::RunState;
-use sequoiagw_protocol::ServedAnswer;
 
 use crate::http_headers::RAN_HEADER;
 use crate::http_headers::REPLAYED_HEADER;
@@ -34,9 +34,10 @@
     }
 }
 
-fn served_response(answer: ServedAnswer) -> CallerResponse {
-    let status = u16::try_from(answer.status).unwrap_or(502);
-    let mut builder = Response::builder().status(status).header(RAN_HEADER, "yes");
+fn served_response(answer: CallerAnswer) -> CallerResponse {
+    let mut builder = Response::builder()
+        .status(answer.status.get())
+        .header(RAN_HEADER, "yes");
     if answer.replayed {
         builder = builder.header(REPLAYED_HEADER, "true");
     }
--- a/crates/sequoiagw-node/src/request_log.rs
+++ b/crates/sequoiagw-node/src/request_log.rs
@@ -5,6 +5,7 @@
 use sequoiagw_policy::PlacementRecord;
 use sequoiagw_policy::RefusalRecord;
 use sequoiagw_policy::RetryRecord;
+use sequoiagw_policy::UnreadableRecord;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_telemetry::REQUEST_LOG_TARGET;
@@ -29,6 +30,7 @@
         EntryEvent::Abandoned(abandoned) => log_abandoned(abandoned, name_of),
         EntryEvent::RetryBudgetExhausted => counters.count("retry.budget_spent"),
         EntryEvent::LateAnswer => counters.count("answer.late"),
+        EntryEvent::UnreadableAnswer(answer) => log_unreadable(answer, counters, name_of),
         EntryEvent::TargetEjected => counters.count("target.ejected"),
     }
 }
@@ -50,6 +52,20 @@
     );
 }
 
+/// Counts and logs an answer that can't be delivered; `name_of` returns the name of its sender.
+fn log_unreadable<Name>(answer: &UnreadableRecord, counters: &NodeCounters, name_of: Name)
+where
+    Name: Fn(NodeId) -> Option<String>,
+{
+    let reason = answer.error.name();
+    counters.count_unreadable_answer(reason);
+    let owner = name_of(answer.owner).unwrap_or_else(|| answer.owner.to_string());
+    info!(
+        target: REQUEST_LOG_TARGET,
+        event = "answer_unreadable", request = %answer.request_id, reason, error = %answer.error, owner
+    );
+}
+
 /// Logs a call whose caller has left; `name_of` returns the name of its target's node.
 fn log_abandoned<Name>(abandoned: &AbandonRecord, name_of: Name)
 where
--- a/crates/sequoiagw-policy/src/decision_record.rs
+++ b/crates/sequoiagw-policy/src/decision_record.rs
@@ -7,6 +7,7 @@
 use sequoiagw_protocol::RankLevel;
 
 use crate::RetryReason;
+use crate::ServedError;
 
 /// Target of a call and the data on which it was chosen.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -34,6 +35,17 @@
     pub attempts: u32,
 }
 
+/// An answer that can't be delivered.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct UnreadableRecord {
+    /// Request id.
+    pub request_id: String,
+    /// Node that sent the answer.
+    pub owner: NodeId,
+    /// Why it can't be delivered.
+    pub error: ServedError,
+}
+
 /// A refusal of a call by its owner, with the owner's load at that time.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct RefusalRecord {
--- a/crates/sequoiagw-policy/src/entry_action.rs
+++ b/crates/sequoiagw-policy/src/entry_action.rs
@@ -7,6 +7,7 @@
 use crate::CallerReply;
 use crate::RequestDigest;
 use crate::RetryRecord;
+use crate::UnreadableRecord;
 
 /// An action for the entry's node to carry out.
 #[derive(Clone, Debug)]
@@ -36,6 +37,8 @@
     RetryBudgetExhausted,
     /// An answer arrived that no call waits for.
     LateAnswer,
+    /// An owner's answer can't be delivered.
+    UnreadableAnswer(Box<UnreadableRecord>),
     /// A target was ejected and gets no calls for a while.
     TargetEjected,
 }
--- a/crates/sequoiagw-policy/src/entry_call.rs
+++ b/crates/sequoiagw-policy/src/entry_call.rs
@@ -7,9 +7,9 @@
 use sequoiagw_protocol::HeaderField;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::RankLevel;
-use sequoiagw_protocol::ServedAnswer;
 use tokio::time::Instant;
 
+use crate::CallerAnswer;
 use crate::PlacementRecord;
 use crate::PlacementRule;
 use crate::TargetInfo;
@@ -70,7 +70,7 @@
 #[derive(Clone, Debug)]
 pub struct CallerReply {
     /// The backend server's answer, or the reason for its absence.
-    pub outcome: Result<ServedAnswer, ErrorKind>,
+    pub outcome: Result<CallerAnswer, ErrorKind>,
     /// Number of attempts made.
     pub attempts: u32,
     /// Rank level of the call.
@@ -193,7 +193,7 @@
     /// Refusals by full targets.
     pub(crate) full_refusals: u32,
     /// A 5xx answer, returned to the caller unless a retry brings another answer.
-    pub(crate) server_error: Option<ServedAnswer>,
+    pub(crate) server_error: Option<CallerAnswer>,
     /// Time at which the call started.
     pub(crate) started_at: Instant,
     /// Id of the current dispatch, 0 before the first.
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -21,12 +21,15 @@
 use crate::AbandonRecord;
 use crate::CallRequest;
 use crate::CallSpec;
+use crate::CallerAnswer;
 use crate::CallerReply;
 use crate::EntryAction;
 use crate::EntryEvent;
 use crate::RequestIdentity;
 use crate::RetryBudget;
+use crate::ServedError;
 use crate::TargetBalancer;
+use crate::UnreadableRecord;
 
 /// Interval between queries about a call that its owner has reported as pending.
 const PENDING_QUERY_INTERVAL: Duration = Duration::from_secs(1);
@@ -244,23 +247,39 @@
     }
 
     fn on_served(&mut self, call: u64, from: NodeId, served: ServedAnswer, now: Instant) {
-        if served.length != served.body.len() as u64 {
-            self.on_refusal(call, ErrorKind::AnswerTruncated, now);
-            return;
-        }
-        let failed = (500..600).contains(&served.status);
+        let answer = match CallerAnswer::try_from(served) {
+            Ok(answer) => answer,
+            Err(error) => {
+                self.record_unreadable_answer(call, from, error);
+                self.on_refusal(call, ErrorKind::AnswerTruncated, now);
+                return;
+            }
+        };
+        let failed = answer.status.is_server_error();
         self.balancer.on_answer(from, failed, now);
         if let Some(entry_call) = self.calls.get(&call) {
             self.balancer
-                .record_answer_size(&entry_call.spec.route, served.body.len());
+                .record_answer_size(&entry_call.spec.route, answer.body.len());
         }
-        if failed && self.retry_server_error(call, &served, now) {
+        if failed && self.retry_server_error(call, &answer, now) {
             return;
         }
-        self.reply(call, Ok(served));
+        self.reply(call, Ok(answer));
+    }
+
+    fn record_unreadable_answer(&mut self, call: u64, owner: NodeId, error: ServedError) {
+        if let Some(entry_call) = self.calls.get(&call) {
+            let record = UnreadableRecord {
+                request_id: entry_call.request.request_id.clone(),
+                owner,
+                error,
+            };
+            let event = EntryEvent::UnreadableAnswer(Box::new(record));
+            self.actions.push(EntryAction::Record(event));
+        }
     }
 
-    pub(crate) fn reply(&mut self, call: u64, outcome: Result<ServedAnswer, ErrorKind>) {
+    pub(crate) fn reply(&mut self, call: u64, outcome: Result<CallerAnswer, ErrorKind>) {
         if let Some(entry_call) = self.remove_call(call) {
             let outcome = match (outcome, entry_call.server_error) {
                 (Err(_), Some(server_error)) => Ok(server_error),
@@ -270,7 +289,7 @@
                 Some(unknown_outcome) if kind.rule().ran == RunState::No => unknown_outcome,
                 _ => kind,
             });
-            if outcome.as_ref().is_ok_and(ServedAnswer::ran_well) {
+            if outcome.as_ref().is_ok_and(CallerAnswer::ran_well) {
                 let identity = RequestIdentity::of_request(&entry_call.request);
                 for variant in identity.variants() {
                     self.actions.push(EntryAction::RanWell(variant.digest()));
--- a/crates/sequoiagw-policy/src/entry_retries.rs
+++ b/crates/sequoiagw-policy/src/entry_retries.rs
@@ -7,10 +7,10 @@
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::RedirectAnswer;
 use sequoiagw_protocol::RunState;
-use sequoiagw_protocol::ServedAnswer;
 use tokio::time::Instant;
 
 use crate::entry_call::EntryPhase;
+use crate::CallerAnswer;
 use crate::EntryAction;
 use crate::EntryEvent;
 use crate::EntryMachine;
@@ -145,7 +145,7 @@
     pub(crate) fn retry_server_error(
         &mut self,
         call: u64,
-        served: &ServedAnswer,
+        answer: &CallerAnswer,
         now: Instant,
     ) -> bool {
         let Some(entry_call) = self.calls.get_mut(&call) else {
@@ -159,7 +159,7 @@
         {
             return false;
         }
-        entry_call.server_error = Some(served.clone());
+        entry_call.server_error = Some(answer.clone());
         self.retry(
             call,
             ErrorKind::BackendBroken,
--- a/crates/sequoiagw-policy/src/lib.rs
+++ b/crates/sequoiagw-policy/src/lib.rs
@@ -5,6 +5,7 @@
 
 mod answer_sizes;
 mod call_id;
+mod caller_answer;
 mod canary_target;
 mod crash_table;
 mod decision_record;
@@ -64,6 +65,8 @@
 pub use answer_sizes::AnswerSizes;
 pub use call_id::CallId;
 pub use call_id::RunId;
+pub use caller_answer::CallerAnswer;
+pub use caller_answer::ServedError;
 pub use canary_target::CanaryTarget;
 pub use crash_table::CrashTable;
 pub use crash_table::CrashVerdict;
@@ -73,6 +76,7 @@
 pub use decision_record::PlacementRecord;
 pub use decision_record::RefusalRecord;
 pub use decision_record::RetryRecord;
+pub use decision_record::UnreadableRecord;
 pub use entry_action::EntryAction;
 pub use entry_action::EntryEvent;
 pub use entry_call::CallRequest;
--- a/crates/sequoiagw-policy/tests/fault_simulation/mod.rs
+++ b/crates/sequoiagw-policy/tests/fault_simulation/mod.rs
@@ -13,6 +13,7 @@
 use sequoiagw_policy::BackendResult;
 use sequoiagw_policy::CallRequest;
 use sequoiagw_policy::CallSpec;
+use sequoiagw_policy::CallerAnswer;
 use sequoiagw_policy::EntryAction;
 use sequoiagw_policy::EntryMachine;
 use sequoiagw_policy::OwnerAction;
@@ -220,12 +221,7 @@
         }
     }
 
-    pub fn on_reply(
-        &mut self,
-        entry: usize,
-        call: u64,
-        outcome: Result<sequoiagw_protocol::ServedAnswer, ErrorKind>,
-    ) {
+    pub fn on_reply(&mut self, entry: usize, call: u64, outcome: Result<CallerAnswer, ErrorKind>) {
         let (request_id, _) = self
             .open_calls
             .remove(&(entry, call))
--- a/crates/sequoiagw-protocol/src/call_message.rs
+++ b/crates/sequoiagw-protocol/src/call_message.rs
@@ -103,7 +103,7 @@
 /// A complete HTTP response of a backend server.
 #[derive(Clone, Message, PartialEq)]
 pub struct ServedAnswer {
-    /// HTTP status code.
+    /// HTTP status code; of an owner of an earlier version it may be none of a final response.
     #[prost(uint32, tag = "1")]
     pub status: u32,
     /// Header fields to return to the caller.
@@ -121,16 +121,6 @@
     pub replayed: bool,
 }
 
-/// Lowest status with which a backend server says that it failed.
-const STATUS_SERVER_ERROR: u32 = 500;
-
-impl ServedAnswer {
-    /// Whether the backend server doesn't say that it failed.
-    pub fn ran_well(&self) -> bool {
-        self.status < STATUS_SERVER_ERROR
-    }
-}
-
 impl CallOutcome {
     /// Builds the outcome of a call that failed or was refused.
     pub fn refused(kind: ErrorKind) -> Self {
