An answer isn't refused for a field whose value isn't UTF-8

What callers saw: an honest answer with a byte from 0x80 in a field's value, which HTTP allows (RFC 9110, section 5.5), was replaced by 502 although its request had run.

Cause: fields are kept as text, and a value that isn't made the whole head invalid.

Change: such a field is left out and counted (answer.omitted_headers), as the client of our own interface does. A field that says how to read the message (those of the connection, Content-...) still makes it unreadable. Requests are read as before. The value itself isn't passed on: messages between nodes hold text.

--- a/crates/sequoiagw-http/src/message_head.rs
+++ b/crates/sequoiagw-http/src/message_head.rs
@@ -18,6 +18,8 @@
 /// Status of a switch to the protocol that a request asked for with `Upgrade`.
 const STATUS_SWITCHING_PROTOCOLS: u16 = 101;
 
+/// Beginning of the names of headers that describe the body.
+const CONTENT_PREFIX: &str = "content-";
 /// Headers that concern a single connection.
 const CONNECTION_HEADERS: &[&str] = &[
     "connection",
@@ -106,8 +108,10 @@
 pub struct ResponseHead {
     /// Status.
     pub status: FinalStatus,
-    /// All headers in their order.
+    /// Headers in their order.
     pub headers: Vec<HeaderField>,
+    /// Number of headers that are left out, since their values aren't UTF-8.
+    pub omitted_headers: usize,
     /// Length of the body.
     pub body: BodyLength,
     /// Whether the server keeps the connection open for further requests.
@@ -191,7 +195,8 @@
             return Err(HttpParseError::Malformed);
         }
         let status = parsed.code.unwrap_or_default();
-        let headers = read_headers(parsed.headers)?;
+        let headers = read_response_headers(parsed.headers)?;
+        let omitted_headers = parsed.headers.len() - headers.len();
         let version = parsed.version;
         if is_interim(status) {
             *interim_responses += 1;
@@ -216,6 +221,7 @@
         return Ok(Some(ResponseHead {
             status,
             headers,
+            omitted_headers,
             body,
             keep_alive,
         }));
@@ -238,14 +244,33 @@
 }
 
 fn read_headers(fields: &[httparse::Header<'_>]) -> Result<Vec<HeaderField>, HttpParseError> {
-    let to_field = |field: &httparse::Header<'_>| {
-        let value = std::str::from_utf8(field.value).map_err(|_| HttpParseError::Malformed)?;
-        Ok(HeaderField {
-            name: field.name.to_owned(),
-            value: value.to_owned(),
-        })
-    };
-    fields.iter().map(to_field).collect()
+    fields.iter().map(read_header).collect()
+}
+
+/// Headers of a response. HTTP allows values that aren't UTF-8. Such headers are left out, but for those
+/// without which the message can't be read.
+fn read_response_headers(
+    fields: &[httparse::Header<'_>],
+) -> Result<Vec<HeaderField>, HttpParseError> {
+    fields
+        .iter()
+        .filter(|field| describes_message(field.name) || std::str::from_utf8(field.value).is_ok())
+        .map(read_header)
+        .collect()
+}
+
+fn read_header(field: &httparse::Header<'_>) -> Result<HeaderField, HttpParseError> {
+    let value = std::str::from_utf8(field.value).map_err(|_| HttpParseError::Malformed)?;
+    Ok(HeaderField {
+        name: field.name.to_owned(),
+        value: value.to_owned(),
+    })
+}
+
+/// Whether a header says how to read its message, such as `Content-Encoding` or `Connection`.
+fn describes_message(name: &str) -> bool {
+    let prefix = name.get(..CONTENT_PREFIX.len()).unwrap_or_default();
+    is_connection_header(name) || prefix.eq_ignore_ascii_case(CONTENT_PREFIX)
 }
 
 /// Body length that the headers state. Duplicate or conflicting lengths are rejected: two parsers
--- a/crates/sequoiagw-http/tests/response_verdicts.rs
+++ b/crates/sequoiagw-http/tests/response_verdicts.rs
@@ -283,3 +283,31 @@
         framings.map(|framing| format!("HTTP/1.1 200 OK\r\n{framing}\r\n\r\nok").into_bytes()),
     );
 }
+
+/// HTTP allows bytes from 0x80 in the value of a field; the whole answer was refused for one that isn't
+/// UTF-8. Fields that say how to read the message can't be left out.
+#[test]
+fn only_the_field_is_left_out_whose_value_is_not_utf_8() {
+    for (line, names) in [
+        (&b"X-Note: caf\xe9"[..], &["Id", "Content-Length"][..]),
+        (b"X-Note: caf\xc3\xa9", &["Id", "X-Note", "Content-Length"]),
+    ] {
+        let [_, response] = responses_with_line(line);
+        let mut buffer = BytesMut::from(&response[..]);
+        let head = parse_response(&mut buffer, "GET", LIMIT, &mut 0)
+            .expect("a valid head")
+            .expect("a complete head");
+        let read: Vec<&str> = head.headers.iter().map(|field| &*field.name).collect();
+        assert_eq!(read, names, "{}", line.escape_ascii());
+        assert_eq!(&buffer[..], b"ok");
+    }
+    let fields = [
+        "Content-Encoding",
+        "content-type",
+        "Connection",
+        "Keep-Alive",
+        "Transfer-Encoding",
+    ];
+    let lines = fields.map(|name| [name.as_bytes(), b": a\xff"].concat());
+    assert_refused(lines.iter().flat_map(|line| responses_with_line(line)));
+}
--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -148,6 +148,7 @@
             .await;
         match result {
             Ok(response) => {
+                self.counters.add_omitted_headers(&response.head);
                 self.report_notice(&response, instance);
                 let result = self.read_response(response);
                 // A refusal may be written once more when its request is sent again.
--- a/crates/sequoiagw-node/src/node_counters.rs
+++ b/crates/sequoiagw-node/src/node_counters.rs
@@ -13,6 +13,7 @@
 use cadence::StatsdClient;
 use cadence::Timed;
 use cadence::UdpMetricSink;
+use sequoiagw_http::ResponseHead;
 use sequoiagw_protocol::FrameKind;
 use sequoiagw_telemetry::metrics_text;
 use sequoiagw_telemetry::LatencySeries;
@@ -79,6 +80,13 @@
         self.count(&format!("answer_unreadable.{reason}"));
     }
 
+    /// Counts the headers that are left out of a backend server's answer.
+    pub fn add_omitted_headers(&self, head: &ResponseHead) {
+        if head.omitted_headers > 0 {
+            self.add("answer.omitted_headers", head.omitted_headers as u64);
+        }
+    }
+
     /// Adds the bytes of a sent or received frame to the counter of its kind.
     pub fn add_frame_bytes(&self, kind: FrameKind, bytes: usize) {
         self.add(byte_counter_name(kind), bytes as u64);
