Command line: an answer without a valid status isn't a refusal

What operators saw: a change that was answered with status 600 or 999 was reported as "refused" with exit code 1, and one answered with 101 as an error of the answer's text, although it may have been accepted. No node sends such answers; what stands before a node might.

Cause: the command line took whatever status ureq lets through, 100 to 999, for one of a node.

Change: it builds a FinalStatus, and reports anything else as no answer, with exit code 7.

--- a/crates/sequoiagw-cli/src/admin_client.rs
+++ b/crates/sequoiagw-cli/src/admin_client.rs
@@ -1,5 +1,6 @@
 //! Client of a node's administration API.
 
+use std::fmt::Display;
 use std::time::Duration;
 
 use clap::Arg;
@@ -9,6 +10,7 @@
 use sequoiagw_node::FleetStatus;
 use sequoiagw_node::NodeStatus;
 use sequoiagw_node::ProblemBody;
+use sequoiagw_protocol::FinalStatus;
 use ureq::http::Response;
 use ureq::Agent;
 use ureq::Body;
@@ -164,25 +166,29 @@
     }
 
     fn read_body(&self, mut response: Response<Body>) -> Result<String, CliError> {
-        let status = response.status().as_u16();
+        let status = FinalStatus::try_from(response.status().as_u16())
+            .map_err(|error| self.unreachable_error(&error))?;
         let text = response
             .body_mut()
             .read_to_string()
             .map_err(|error| self.unreachable_error(&error))?;
-        if status < 400 {
+        if status.get() < 400 {
             return Ok(text);
         }
         let detail =
             serde_json::from_str::<ProblemBody>(&text).map_or(text, |problem| problem.detail);
-        Err(match status {
+        Err(match status.get() {
             422 => CliError::Invalid(detail),
             409 | 412 => CliError::Conflict(detail),
             503 => CliError::StoreUnavailable(detail),
-            _ => CliError::Refused { status, detail },
+            status => CliError::Refused { status, detail },
         })
     }
 
-    fn unreachable_error(&self, error: &ureq::Error) -> CliError {
+    fn unreachable_error<Cause>(&self, error: &Cause) -> CliError
+    where
+        Cause: Display,
+    {
         CliError::Unreachable {
             url: self.url.clone(),
             detail: error.to_string(),
