--- a/crates/sequoiagw-http/tests/response_verdicts.rs
+++ b/crates/sequoiagw-http/tests/response_verdicts.rs
@@ -311,3 +311,38 @@
     let lines = fields.map(|name| [name.as_bytes(), b": a\xff"].concat());
     assert_refused(lines.iter().flat_map(|line| responses_with_line(line)));
 }
+
+/// Valid responses, which the property test damages.
+const VALID_RESPONSES: [&str; 4] = [
+    "HTTP/1.1 200 OK\r\nId: own\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok",
+    "HTTP/1.1 200 OK\r\nId: own\r\nTransfer-Encoding: chunked\r\n\r\n2;a=b\r\nok\r\n0\r\nSum: 1\r\n\r\n",
+    "HTTP/1.1 103 Early Hints\r\nLink: a\r\n\r\nHTTP/1.1 404 Not Found\r\nId: own\r\n\r\nok",
+    "HTTP/1.0 599 Odd\r\nConnection: keep-alive\r\nContent-Length: 0\r\n\r\n",
+];
+
+/// Whatever damage a response has, what the client takes of it is valid HTTP.
+#[test]
+fn damaged_responses_are_refused_or_valid() {
+    bolero::check!()
+        .with_type::<(u8, Vec<(u16, u8)>)>()
+        .for_each(|(choice, damages)| {
+            let text = VALID_RESPONSES[usize::from(*choice) % VALID_RESPONSES.len()];
+            let mut bytes = text.as_bytes().to_vec();
+            for (place, byte) in damages {
+                let place = usize::from(*place) % bytes.len();
+                bytes[place] = *byte;
+            }
+            let mut buffer = BytesMut::from(&bytes[..]);
+            let Ok(Some(head)) = parse_response(&mut buffer, "GET", LIMIT, &mut 0) else {
+                return;
+            };
+            assert!((200..600).contains(&head.status.get()));
+            for field in &head.headers {
+                let is_name = !field.name.is_empty() && field.name.bytes().all(is_name_byte);
+                assert!(is_name, "{}", field.name.escape_debug());
+                let mut value = field.value.bytes();
+                assert!(value.all(|byte| byte == b'\t' || !byte.is_ascii_control()));
+            }
+            let _ = read_response(&bytes);
+        });
+}
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -27,9 +27,7 @@
 use crate::EntryEvent;
 use crate::RequestIdentity;
 use crate::RetryBudget;
-use crate::ServedError;
 use crate::TargetBalancer;
-use crate::UnreadableRecord;
 
 /// Interval between queries about a call that its owner has reported as pending.
 const PENDING_QUERY_INTERVAL: Duration = Duration::from_secs(1);
@@ -250,8 +248,7 @@
         let answer = match CallerAnswer::try_from(served) {
             Ok(answer) => answer,
             Err(error) => {
-                self.record_unreadable_answer(call, from, error);
-                self.on_refusal(call, ErrorKind::AnswerTruncated, now);
+                self.on_unreadable_answer(call, from, error, now);
                 return;
             }
         };
@@ -267,18 +264,6 @@
         self.reply(call, Ok(answer));
     }
 
-    fn record_unreadable_answer(&mut self, call: u64, owner: NodeId, error: ServedError) {
-        if let Some(entry_call) = self.calls.get(&call) {
-            let record = UnreadableRecord {
-                request_id: entry_call.request.request_id.clone(),
-                owner,
-                error,
-            };
-            let event = EntryEvent::UnreadableAnswer(Box::new(record));
-            self.actions.push(EntryAction::Record(event));
-        }
-    }
-
     pub(crate) fn reply(&mut self, call: u64, outcome: Result<CallerAnswer, ErrorKind>) {
         if let Some(entry_call) = self.remove_call(call) {
             let outcome = match (outcome, entry_call.server_error) {
--- a/crates/sequoiagw-policy/src/entry_retries.rs
+++ b/crates/sequoiagw-policy/src/entry_retries.rs
@@ -17,7 +17,9 @@
 use crate::PlacementRule;
 use crate::RetryReason;
 use crate::RetryRecord;
+use crate::ServedError;
 use crate::TargetInfo;
+use crate::UnreadableRecord;
 
 /// Base of the exponential delay before a retry or another round over all targets.
 const BASE_RETRY_DELAY: Duration = Duration::from_millis(4);
@@ -64,6 +66,26 @@
         }
     }
 
+    /// Handles an owner's answer that can't be delivered: the call may have run.
+    pub(crate) fn on_unreadable_answer(
+        &mut self,
+        call: u64,
+        owner: NodeId,
+        error: ServedError,
+        now: Instant,
+    ) {
+        if let Some(entry_call) = self.calls.get(&call) {
+            let record = UnreadableRecord {
+                request_id: entry_call.request.request_id.clone(),
+                owner,
+                error,
+            };
+            let event = EntryEvent::UnreadableAnswer(Box::new(record));
+            self.actions.push(EntryAction::Record(event));
+        }
+        self.on_refusal(call, ErrorKind::AnswerTruncated, now);
+    }
+
     /// Treats a call as lost with its target. An idempotent call is retried elsewhere, any other
     /// one fails.
     pub(crate) fn on_target_lost(&mut self, call: u64, now: Instant) {
