--- a/crates/sequoiagw-http/src/message_head.rs
+++ b/crates/sequoiagw-http/src/message_head.rs
@@ -211,11 +211,8 @@
         let body = if has_no_body {
             BodyLength::Sized(0)
         } else {
-            stated_length(&headers)?.unwrap_or(BodyLength::UntilClose)
+            response_length(version, &headers)?
         };
-        if version == Some(HTTP_1_0_MINOR_VERSION) && body == BodyLength::Chunked {
-            return Err(HttpParseError::Malformed);
-        }
         let keep_alive = keeps_alive(version, &headers) && body != BodyLength::UntilClose;
         buffer.advance(length);
         return Ok(Some(ResponseHead {
@@ -299,6 +296,18 @@
     Ok(length)
 }
 
+/// Body length of a response that may have a body, by its HTTP minor version and headers.
+fn response_length(
+    version: Option<u8>,
+    headers: &[HeaderField],
+) -> Result<BodyLength, HttpParseError> {
+    let length = stated_length(headers)?.unwrap_or(BodyLength::UntilClose);
+    if version == Some(HTTP_1_0_MINOR_VERSION) && length == BodyLength::Chunked {
+        return Err(HttpParseError::Malformed);
+    }
+    Ok(length)
+}
+
 /// Whether the connection stays open after this message, by its HTTP minor version and headers.
 fn keeps_alive(version: Option<u8>, headers: &[HeaderField]) -> bool {
     let has_option = |option: &str| {
