--- a/crates/sequoiagw-http/src/http_connection.rs
+++ b/crates/sequoiagw-http/src/http_connection.rs
@@ -47,6 +47,17 @@
     Unreadable(#[from] HttpParseError),
 }
 
+impl ExchangeError {
+    /// Name of the reason in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::Truncated => "truncated",
+            Self::Unreadable(reason) => reason.name(),
+        }
+    }
+}
+
 /// Client connection to an HTTP server.
 #[derive(Debug)]
 pub struct HttpConnection {
--- a/crates/sequoiagw-mesh/src/mesh_backend.rs
+++ b/crates/sequoiagw-mesh/src/mesh_backend.rs
@@ -162,7 +162,8 @@
                 info!(
                     target: REQUEST_LOG_TARGET, event = "run_failed",
                     request = %dispatch.request_id, method = %dispatch.method,
-                    path = logged_path(&dispatch.path), error = %error, backend_ended, instance
+                    path = logged_path(&dispatch.path), reason = error.name(), error = %error,
+                    backend_ended, instance
                 );
                 if let ExchangeError::Unreadable(reason) = error {
                     self.counters.count_unreadable_answer(reason.name());
--- a/crates/sequoiagw-node/src/backend_client.rs
+++ b/crates/sequoiagw-node/src/backend_client.rs
@@ -202,17 +202,12 @@
 
     /// Logs why a request got no answer, and counts an answer that can't be read.
     fn record_failure(&self, error: ExchangeError, request_id: &str) {
-        let reason = match error {
-            ExchangeError::Unreadable(reason) => {
-                self.counters.count_unreadable_answer(reason.name());
-                reason.name()
-            }
-            ExchangeError::Truncated => "truncated",
-            ExchangeError::Broken => "broken",
-        };
+        if let ExchangeError::Unreadable(reason) = error {
+            self.counters.count_unreadable_answer(reason.name());
+        }
         info!(
             target: REQUEST_LOG_TARGET,
-            event = "run_failed", request = request_id, reason, error = %error
+            event = "run_failed", request = request_id, reason = error.name(), error = %error
         );
     }
 }
