A refusal whose request id isn't UTF-8 isn't believed

What callers could have seen: a backend server refuses with "not run" and an id that isn't this request's, since it isn't UTF-8; the node of our own interface took the refusal for one without an id, and believed it on a new connection. The request may have run, and would have been sent again or refused with 503.

Cause: a field that is left out looked like one that wasn't sent.

Change: a refusal that names no request counts only if no field of its head was left out.

Evidence: refusal_with_an_id_that_is_not_utf_8_is_not_believed of backend_client failed on the commit before (Shed instead of Truncated) and passes now. The client of the users' nodes believes only refusals that name the request; its test of the same name passed at once and stays.

--- a/crates/sequoiagw-mesh/tests/mesh_backend/broken_answers.rs
+++ b/crates/sequoiagw-mesh/tests/mesh_backend/broken_answers.rs
@@ -26,7 +26,7 @@
 }
 
 impl RepeatingServer {
-    async fn start(answer: &str) -> Self {
+    async fn start(answer: &[u8]) -> Self {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
         let address = listener.local_addr().expect("an address");
         let used_connections = Rc::new(Cell::new(0));
@@ -41,7 +41,7 @@
                     while stream.read(&mut part).await.is_ok_and(|read| read > 0) {
                         counter.set(counter.get() + usize::from(!is_used));
                         is_used = true;
-                        let _ = stream.write_all(answer.as_bytes()).await;
+                        let _ = stream.write_all(&answer).await;
                     }
                 });
             }
@@ -56,7 +56,7 @@
 /// Checks that an answer counts as a broken one for this reason, that nothing it says of the backend
 /// server is taken over, and that its connection isn't used again.
 async fn assert_not_believed(answer: &str, reason: &str) {
-    let server = RepeatingServer::start(answer).await;
+    let server = RepeatingServer::start(answer.as_bytes()).await;
     let (sender, mut events) = mpsc::unbounded_channel();
     let counters = NodeCounters::default();
     let backend = MeshBackend::new(server.address, HEADERS, sender).with_counters(counters.clone());
@@ -97,7 +97,7 @@
         "HTTP/1.1 599 Odd\r\nId: call-1\r\nSignature: s\r\nContent-Length: 2\r\n\r\nok";
     LocalSet::new()
         .run_until(async {
-            let server = RepeatingServer::start(ANSWER).await;
+            let server = RepeatingServer::start(ANSWER.as_bytes()).await;
             let (sender, mut events) = mpsc::unbounded_channel();
             let backend = MeshBackend::new(server.address, HEADERS, sender);
             start_run(&backend, 1);
@@ -110,3 +110,22 @@
         })
         .await;
 }
+
+/// REFUSED, TWICE: a refusal that names a request by an id that isn't UTF-8 doesn't name this one.
+#[tokio::test]
+async fn refusal_with_an_id_that_is_not_utf_8_is_not_believed() {
+    LocalSet::new()
+        .run_until(async {
+            for start in ["503 Busy\r\nNot-Run: 1", "421 Other"] {
+                let start = format!("HTTP/1.1 {start}\r\nId: call-");
+                let refusal = [start.as_bytes(), b"\xff\r\nContent-Length: 0\r\n\r\n"].concat();
+                let server = RepeatingServer::start(&refusal).await;
+                let (sender, mut events) = mpsc::unbounded_channel();
+                let backend = MeshBackend::new(server.address, HEADERS, sender);
+                start_run(&backend, 1);
+                let (_, result) = next_result(&mut events).await;
+                assert_eq!(result, BackendResult::Truncated, "{start:?}");
+            }
+        })
+        .await;
+}
--- a/crates/sequoiagw-node/src/backend_client.rs
+++ b/crates/sequoiagw-node/src/backend_client.rs
@@ -255,9 +255,11 @@
     request_id: &str,
     connection_use: ConnectionUse,
 ) -> BackendResult {
+    // An id that isn't UTF-8 is among the omitted headers, and isn't that of this request.
+    let is_complete = response.head.omitted_headers == 0;
     match (response.header(REQUEST_ID_HEADER), connection_use) {
         (Some(named), _) if named == request_id => BackendResult::Shed,
-        (None, ConnectionUse::First) => BackendResult::Shed,
+        (None, ConnectionUse::First) if is_complete => BackendResult::Shed,
         _ => BackendResult::Truncated,
     }
 }
--- a/crates/sequoiagw-node/tests/backend_client/broken_answers.rs
+++ b/crates/sequoiagw-node/tests/backend_client/broken_answers.rs
@@ -109,6 +109,18 @@
     LocalSet::new().run_until(assert_broken(&answers)).await;
 }
 
+/// REFUSED, TWICE: a refusal that names a request by an id that isn't UTF-8 doesn't name this one.
+#[tokio::test]
+async fn refusal_with_an_id_that_is_not_utf_8_is_not_believed() {
+    LocalSet::new()
+        .run_until(async {
+            let answer = b"HTTP/1.1 503 Busy\r\nSequoiagw-Not-Run: true\r\n\
+                           X-Request-Id: call-\xff\r\nContent-Length: 0\r\n\r\n";
+            assert_eq!(result_of(answer).await, BackendResult::Truncated);
+        })
+        .await;
+}
+
 /// HTTP allows bytes from 0x80 in the value of a field.
 #[tokio::test]
 async fn answer_with_a_field_that_is_not_utf_8_is_passed_on() {
