--- a/review/harness-3/main.rs
+++ b/review/harness-3/main.rs
@@ -9,6 +9,7 @@
 mod http;
 mod json;
 mod node;
+mod pipelined_refusal;
 mod pipelined_stop;
 mod silent_watch;
 mod store;
@@ -34,6 +35,7 @@
     let outcome = match scenario.as_str() {
         "silent-watch" => silent_watch::run(&folder, with_trouble),
         "pipelined-stop" => pipelined_stop::run(&folder, with_trouble),
+        "pipelined-refusal" => pipelined_refusal::run(&folder, with_trouble),
         other => Outcome::CouldNotRun(format!("unknown scenario {other}")),
     };
     match outcome {
--- a/review/harness-3/target.rs
+++ b/review/harness-3/target.rs
@@ -32,6 +32,8 @@
     work: Duration,
     /// Path that takes longer, and how long.
     long_work: Mutex<Option<(String, Duration)>>,
+    /// Least size of an answer's body.
+    answer_bytes: AtomicU64,
     sequence: AtomicU64,
     silent: AtomicBool,
     runs: Arc<Mutex<Vec<Run>>>,
@@ -64,6 +66,7 @@
             slots: 12,
             work,
             long_work: Mutex::default(),
+            answer_bytes: AtomicU64::new(0),
             sequence: AtomicU64::new(0),
             silent: AtomicBool::new(false),
             runs: Arc::clone(runs),
@@ -88,6 +91,19 @@
         *self.shared.long_work.lock().unwrap() = Some((path.to_owned(), work));
     }
 
+    /// Sets the least size of an answer's body.
+    pub fn set_answer_bytes(&self, bytes: usize) {
+        self.shared.answer_bytes.store(bytes as u64, Ordering::Relaxed);
+    }
+
+    /// Body of the answer to a request: its id and the service, repeated.
+    pub fn answer_body(&self, id: &str) -> Vec<u8> {
+        let bytes = self.shared.answer_bytes.load(Ordering::Relaxed) as usize;
+        let line = format!("{id} by {}", self.shared.service);
+        let count = bytes / line.len() + 1;
+        vec![line; count].join("\n").into_bytes()
+    }
+
     /// Sends check-ins to the node beside the target from now on.
     pub fn start_heartbeats(&self, node: SocketAddr) {
         let target = self.clone();
@@ -147,12 +163,12 @@
         let long_work = shared.long_work.lock().unwrap().clone();
         let long_work = long_work.filter(|(path, _)| path == request.path());
         thread::sleep(long_work.map_or(shared.work, |(_, work)| work));
-        let body = format!("{} by {}", id, shared.service);
+        let body = self.answer_body(&id);
         let headers = [
             ("X-Sequoiagw-Attempt-Id", id.as_str()),
             ("X-Sequoiagw-Server-Signature", "3e1b.07.5a2.600.0.c9f2a4d1"),
             ("X-Stand-In-Service", &shared.service),
         ];
-        response(200, &headers, body.as_bytes())
+        response(200, &headers, &body)
     }
 }
