--- a/review/harness-3/pipelined_refusal.rs
+++ b/review/harness-3/pipelined_refusal.rs
@@ -51,6 +51,7 @@
     ));
     let mut whole = 0;
     let mut wrong = 0;
+    let mut malformed = 0;
     let mut last_answers = Vec::new();
     for pipeline in 0..PIPELINES {
         let node = &fleet.nodes[pipeline % fleet.nodes.len()].host;
@@ -81,6 +82,14 @@
                 record.add(format!("the connection ends without a whole answer to {id}"));
                 break;
             };
+            if !answer.start.starts_with("HTTP/1.1 ") {
+                let start: String = answer.start.chars().take(40).collect();
+                malformed += 1;
+                record.add(format!(
+                    "what follows is no answer (it begins with {start:?}); the consumer closes the connection, without an answer to {id} and the rest"
+                ));
+                break;
+            }
             let is_signed = !answer.header("X-Sequoiagw-Server-Signature").is_empty();
             let named = answer.header("X-Sequoiagw-Attempt-Id").to_owned();
             let expected = fleet.targets[0].answer_body(id);
@@ -104,7 +113,7 @@
         record.add_at(run.at, format!("{} runs at {}", run.id, run.target));
     }
     let summary = format!(
-        "{} requests in {PIPELINES} pipelines: {whole} whole answers, {wrong} successes with a foreign answer or another body than the target sent; the last requests got {last_answers:?}",
+        "{} requests in {PIPELINES} pipelines: {whole} whole answers, {wrong} signed successes with another body than the target sent, {malformed} times bytes that are no answer after it; the last requests got {last_answers:?}",
         PIPELINES * (REQUESTS + 1)
     );
     println!("{summary}");
--- a/review/harness-3/pipelined_stop.rs
+++ b/review/harness-3/pipelined_stop.rs
@@ -93,17 +93,23 @@
     for run in &runs {
         record.add_at(run.at, format!("{} runs at {} of {}", run.id, run.target, run.service));
     }
-    let was_run = |id: &String| runs.iter().any(|run| run.id == *id);
+    // Passed on, and its target was done before the last sixth of the grace period.
+    let last_sixth = stopped + GRACE_PERIOD * 5 / 6;
+    let was_run = |id: &String| {
+        runs.iter().any(|run| run.id == *id && run.at + QUICK_WORK < last_sixth)
+    };
     // Not counted: the long request, at which its target is still at work in the last sixth of
     // `gracePeriodS`, and a request that wasn't passed on. Neither limit of time may have been reached.
     let in_time = ended.is_none_or(|ended| ended.duration_since(sent) < ROUTE_TIMEOUT);
     let lost: Vec<&String> = ids.iter().enumerate().skip(answered.max(1)).map(|(_, id)| id).collect();
     let lost: Vec<&String> = lost.into_iter().filter(|id| was_run(id)).collect();
     let summary = format!(
-        "{answered} of {} answered; {} quick requests were run by a target within {:?} and never answered; the connection ended {} after the SIGTERM",
+        "{answered} of {} answered; {} quick requests were run by a target, the last by {:.2} s before the SIGTERM, and never answered; the connection ended {} after the SIGTERM",
         ids.len(),
         lost.len(),
-        QUICK_WORK * 10,
+        stopped
+            .saturating_duration_since(runs.iter().map(|run| run.at).max().unwrap_or(sent) + QUICK_WORK)
+            .as_secs_f64(),
         ended.map_or("not".to_owned(), |at| format!("{:.2} s", at.duration_since(stopped).as_secs_f64()))
     );
     println!("{summary}");
--- a/review/harness-3/silent_watch.rs
+++ b/review/harness-3/silent_watch.rs
@@ -52,6 +52,7 @@
     };
     let consumers = Consumers::start(&fleet, &stream, "a");
     thread::sleep(Duration::from_secs(4));
+    let disruption_end = with_trouble.then(|| Instant::now() + SILENCE_TIME);
     if with_trouble {
         record.add(format!(
             "for {SILENCE_TIME:?}, answers of the store on connections that are open now stop for good after {BYTES_BEFORE_SILENCE} bytes"
@@ -68,8 +69,8 @@
     if let Some(at) = last_silent {
         record.add_at(at, format!("the last of {silent} connections goes silent; new ones work"));
     }
-    // All machines are in touch again `STABLE_WINDOW` after the last connection went silent.
-    let judged_from = last_silent
+    // All machines are in touch again `STABLE_WINDOW` after the end of the disruption.
+    let judged_from = disruption_end
         .map_or(acknowledged, |at| at + STABLE_WINDOW)
         .max(acknowledged + CONFIG_PROPAGATION);
     record.add_at(judged_from, "from here on all machines are in touch and the bound is over".to_owned());
