Logs: a process that leaves names the replies that it drops

OpenReplies keeps each caller's request from its arrival until its reply has been written. At the exit reply_dropped names each that is left, with its state (running, or unsent), at most 100 lines, all counted in reply.dropped; node_stopped has open_connections and open_replies beside open_calls. What is encoded and not yet written has a type of its own, ReplyOutput, with the behaviour of before.

--- a/crates/sequoiagw-http/src/http_message.rs
+++ b/crates/sequoiagw-http/src/http_message.rs
@@ -1,11 +1,14 @@
 //! Requests and responses with their complete bodies.
 
+use std::rc::Rc;
+
 use bytes::BufMut;
 use bytes::Bytes;
 use bytes::BytesMut;
 use sequoiagw_protocol::HeaderField;
 
 use crate::find_header;
+use crate::OpenReply;
 use crate::RequestHead;
 use crate::ResponseHead;
 
@@ -55,6 +58,8 @@
     pub headers: Vec<HeaderField>,
     /// Body.
     pub body: Bytes,
+    /// Keeps the request open until the reply has been written, `None` if nobody asks.
+    pub open: Option<Rc<OpenReply>>,
 }
 
 impl HttpReply {
--- a/crates/sequoiagw-http/src/http_server.rs
+++ b/crates/sequoiagw-http/src/http_server.rs
@@ -4,12 +4,10 @@
 use std::future::Future;
 use std::time::Duration;
 
-use bytes::Bytes;
 use bytes::BytesMut;
 use futures_util::stream::FuturesOrdered;
 use futures_util::StreamExt;
 use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 use tokio::time::Instant;
@@ -18,6 +16,7 @@
 use crate::close_gracefully;
 use crate::message_head::USUAL_HEAD_BYTES;
 use crate::parse_request;
+use crate::reply_output::ReplyOutput;
 use crate::set_socket_options;
 use crate::BodyDecoder;
 use crate::BufferBudget;
@@ -97,8 +96,7 @@
         budget,
         timeout_start: Instant::now(),
     };
-    let mut output = BytesMut::new();
-    let mut large_body = Bytes::new();
+    let mut output = ReplyOutput::default();
     loop {
         let current_limits = limits();
         let mut parse_error = None;
@@ -126,18 +124,17 @@
             // The replies to earlier requests are sent before the error reply, which closes the
             // connection.
             while let Some(reply) = running.next().await {
-                let body = state.write_reply(&reply, false, &mut output);
-                if write_output(&mut stream, &mut output, body).await.is_err() {
+                state.add_reply(reply, false, &mut output);
+                if output.write_to(&mut stream).await.is_err() {
                     return;
                 }
             }
             if error == HttpParseError::NoRoom {
                 state.log_refused_body();
             }
-            large_body = parse_error_reply(error).write_to(&mut output, true, true);
+            output.push(parse_error_reply(error), true, true);
         }
-        let body = std::mem::take(&mut large_body);
-        if write_output(&mut stream, &mut output, body).await.is_err() {
+        if output.write_to(&mut stream).await.is_err() {
             return;
         }
         let current = *phase.borrow_and_update();
@@ -165,7 +162,7 @@
                 let leaving = current != ServerPhase::Open && running.is_empty();
                 let last = running.is_empty() && !state.accepts_requests;
                 state.accepts_requests &= !leaving;
-                large_body = state.write_reply(&reply, leaving || last, &mut output);
+                state.add_reply(reply, leaving || last, &mut output);
                 state.timeout_start = Instant::now();
             }
             read = stream.read_buf(&mut state.buffer), if can_read => match read {
@@ -176,8 +173,9 @@
             },
             () = tokio::time::sleep_until(state.timeout_start + limit), if running.is_empty() => {
                 if !idle {
-                    let body = HttpReply::empty(408).write_to(&mut output, true, true);
-                    let _ = write_output(&mut stream, &mut output, body).await;
+                    output.push(HttpReply::empty(408), true, true);
+                    // The connection ends in either case.
+                    let _ = output.write_to(&mut stream).await;
                 }
                 close_gracefully(&mut stream).await;
                 return;
@@ -195,14 +193,14 @@
     fn next_request(
         &mut self,
         limits: &ServerLimits,
-        output: &mut BytesMut,
+        output: &mut ReplyOutput,
     ) -> Result<Option<HttpRequest>, HttpParseError> {
         if self.partial.is_none() {
             let Some(head) = parse_request(&mut self.buffer, limits.max_header_bytes)? else {
                 return Ok(None);
             };
             if head.wants_continue && self.sends_body.is_empty() {
-                output.extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
+                output.push_continue();
             }
             let decoder = BodyDecoder::new(head.body, limits.max_body_bytes, &self.budget);
             self.partial = Some(PartialRequest { head, decoder });
@@ -232,27 +230,13 @@
         );
     }
 
-    /// Encodes the reply to the oldest running request; returns a large body, which has to be written
-    /// after it.
-    fn write_reply(&mut self, reply: &HttpReply, close: bool, output: &mut BytesMut) -> Bytes {
+    /// Adds the reply to the oldest running request.
+    fn add_reply(&mut self, reply: HttpReply, close: bool, output: &mut ReplyOutput) {
         let with_body = self.sends_body.pop_front().unwrap_or(true);
-        reply.write_to(output, close, with_body)
+        output.push(reply, close, with_body);
     }
 }
 
-/// Writes what was encoded and the large body after it.
-async fn write_output(
-    stream: &mut TcpStream,
-    output: &mut BytesMut,
-    large_body: Bytes,
-) -> std::io::Result<()> {
-    if !output.is_empty() {
-        stream.write_all(output).await?;
-        output.clear();
-    }
-    stream.write_all(&large_body).await
-}
-
 /// Reply to a request that can't be parsed, or for whose body there is no room.
 fn parse_error_reply(error: HttpParseError) -> HttpReply {
     let status = match error {
--- a/crates/sequoiagw-http/src/lib.rs
+++ b/crates/sequoiagw-http/src/lib.rs
@@ -11,6 +11,8 @@
 mod http_message;
 mod http_server;
 mod message_head;
+mod open_replies;
+mod reply_output;
 mod server_phase;
 mod socket_options;
 
@@ -34,5 +36,9 @@
 pub use message_head::HttpParseError;
 pub use message_head::RequestHead;
 pub use message_head::ResponseHead;
+pub use open_replies::OpenReplies;
+pub use open_replies::OpenReply;
+pub use open_replies::OpenRequest;
+pub use open_replies::OpenState;
 pub use server_phase::ServerPhase;
 pub use socket_options::set_socket_options;
--- a/crates/sequoiagw-mesh/src/caller_server.rs
+++ b/crates/sequoiagw-mesh/src/caller_server.rs
@@ -8,6 +8,7 @@
 use sequoiagw_http::BufferBudget;
 use sequoiagw_http::HttpReply;
 use sequoiagw_http::HttpRequest;
+use sequoiagw_http::OpenReplies;
 use sequoiagw_http::ServerLimits;
 use sequoiagw_http::ServerPhase;
 use sequoiagw_policy::CallRequest;
@@ -49,6 +50,7 @@
     /// Its reference count is the number of open connections plus two: the accept loop and the
     /// shutdown code each hold a clone of the server.
     open_handles: Rc<()>,
+    open_replies: OpenReplies,
 }
 
 impl CallerServer {
@@ -63,6 +65,7 @@
             phase,
             budget,
             open_handles: Rc::new(()),
+            open_replies: OpenReplies::default(),
         }
     }
 
@@ -71,6 +74,11 @@
         Rc::strong_count(&self.open_handles).saturating_sub(2)
     }
 
+    /// Requests whose replies haven't been written whole.
+    pub fn open_replies(&self) -> &OpenReplies {
+        &self.open_replies
+    }
+
     /// Accepts connections until the task is aborted.
     pub async fn accept(self, listener: TcpListener) {
         accept_connections(listener, |stream| {
@@ -105,7 +113,7 @@
     }
 
     async fn handle_request(&self, request: HttpRequest) -> HttpReply {
-        let header_names = *self.handle.platform_format().headers();
+        let header_names = self.handle.platform_format().headers();
         let request_id = request
             .head
             .header(header_names.request_id)
@@ -113,6 +121,15 @@
         let Some(request_id) = request_id else {
             return refusal_reply(ErrorKind::RequestInvalid, None);
         };
+        let open = self.open_replies.open(&request_id);
+        let mut reply = self.answer_request(request, request_id).await;
+        open.mark_unsent();
+        reply.open = Some(Rc::new(open));
+        reply
+    }
+
+    async fn answer_request(&self, request: HttpRequest, request_id: String) -> HttpReply {
+        let header_names = *self.handle.platform_format().headers();
         let host = request.head.header("host").unwrap_or_default();
         let version = self.handle.read(|core| core.active_version().cloned());
         let Some(version) = version else {
@@ -177,6 +194,7 @@
                 status: answer.status.get(),
                 headers: answer.headers,
                 body: answer.body,
+                open: None,
             },
             Err(kind) => {
                 let refusal = refusal_reply(kind, Some(level));
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -51,6 +51,8 @@
 const DROPPED_LINES_INTERVAL: Duration = Duration::from_secs(5);
 /// Interval at which a leaving node checks whether connections and calls are still open.
 const LEAVE_POLL_INTERVAL: Duration = Duration::from_millis(50);
+/// Largest number of dropped replies that are logged one by one.
+const MAX_LOGGED_REPLIES: usize = 100;
 
 /// What a node takes from its embedder besides its settings.
 pub struct NodeDependencies {
@@ -143,13 +145,25 @@
     wait_for_stop_signal().await?;
     info!(event = "leave_started");
     leave(&handle, &caller_server, &phase, grace).await;
+    log_dropped_replies(&caller_server, &handle.counters());
     info!(
         event = "node_stopped",
-        open_calls = handle.read(MeshCore::open_calls)
+        open_calls = handle.read(MeshCore::open_calls),
+        open_connections = caller_server.open_connections(),
+        open_replies = caller_server.open_replies().len()
     );
     Ok(())
 }
 
+/// Logs and counts the requests whose callers lose their replies with the end of the process.
+fn log_dropped_replies(caller_server: &CallerServer, counters: &NodeCounters) {
+    let open_replies = caller_server.open_replies();
+    counters.add("reply.dropped", open_replies.len() as u64);
+    for request in open_replies.oldest(MAX_LOGGED_REPLIES) {
+        warn!(event = "reply_dropped", request = request.request_id, state = %request.state);
+    }
+}
+
 async fn bind(purpose: &str, address: SocketAddr) -> eyre::Result<TcpListener> {
     TcpListener::bind(address)
         .await
