--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -352,9 +352,11 @@
         self.process_actions(now);
     }
 
-    /// Sets when this node stops; callers' requests that can't end before are refused.
-    pub fn set_leave_plan(&mut self, plan: LeavePlan) {
+    /// Sets when this node stops: callers' requests that are open end before, and those that arrive and
+    /// can't are refused.
+    pub fn set_leave_plan(&mut self, plan: LeavePlan, now: Instant) {
         self.leave_plan = Some(plan);
+        self.calls.entry.limit_deadlines(plan.answers_due, now);
     }
 
     /// Time that a caller's request may take, `None` if it is refused because the node stops.
--- a/crates/sequoiagw-mesh/src/mesh_process.rs
+++ b/crates/sequoiagw-mesh/src/mesh_process.rs
@@ -41,8 +41,6 @@
 /// Shortest time for which a leaving node keeps serving: the platform routes callers to other
 /// nodes after two failed readiness checks, one second apart.
 const MIN_LEAVE_TIME: Duration = Duration::from_millis(2300);
-/// Part of the grace period that is left unused, so that the process exits before it ends.
-const GRACE_RESERVE: Duration = Duration::from_millis(700);
 /// Part of the process's memory for bodies of messages: one in this number. The rest holds copies of
 /// bodies under way, what the system has received and the process hasn't read, and the node's state.
 const BODY_MEMORY_PART: u64 = 3;
@@ -216,20 +214,15 @@
 
 /// Shuts the node down: it first keeps serving while the platform routes callers to other nodes,
 /// then waits for open connections and calls to end, at most until the grace period is nearly
-/// over.
+/// over. Calls that are still open then have ended before, see [`LeavePlan`].
 async fn leave(
     handle: &MeshHandle,
     caller_server: &CallerServer,
     phase: &watch::Sender<ServerPhase>,
     grace: Duration,
 ) {
-    let started = Instant::now();
-    let deadline = started + grace.saturating_sub(GRACE_RESERVE);
-    let plan = LeavePlan {
-        started,
-        ends: deadline,
-    };
-    handle.with_core(|core, _| core.set_leave_plan(plan));
+    let plan = LeavePlan::new(Instant::now(), grace);
+    handle.with_core(|core, now| core.set_leave_plan(plan, now));
     handle.with_core(MeshCore::drain);
     phase.send_replace(ServerPhase::Leaving);
     sleep(MIN_LEAVE_TIME).await;
@@ -239,7 +232,7 @@
             || handle.read(MeshCore::open_calls) > 0
             || handle.has_unsent_frames()
     };
-    while Instant::now() < deadline && has_open_work() {
+    while Instant::now() < plan.exits && has_open_work() {
         sleep(LEAVE_POLL_INTERVAL).await;
     }
     // What was handed to the links last has not been written yet.
--- a/crates/sequoiagw-mesh/tests/leave_plan.rs
+++ b/crates/sequoiagw-mesh/tests/leave_plan.rs
@@ -7,12 +7,27 @@
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 const LATENCY_TARGET: Duration = Duration::from_millis(600);
-const LEAVE_TIME: Duration = Duration::from_millis(5300);
+const GRACE_PERIOD: Duration = Duration::from_secs(6);
 
 fn plan(started: Instant) -> LeavePlan {
-    LeavePlan {
-        started,
-        ends: started + LEAVE_TIME,
+    LeavePlan::new(started, GRACE_PERIOD)
+}
+
+/// LOST: an answer of the node's own before the last sixth of the grace period cuts a backend server short
+/// that is at work, and one at the end of the process leaves no time to send it.
+#[test]
+fn running_requests_end_in_the_last_sixth_of_the_grace_period_and_before_the_process() {
+    let started = Instant::now();
+    for grace_ms in [1000, 2500, 6000, 30_000] {
+        let grace_period = Duration::from_millis(grace_ms);
+        let plan = LeavePlan::new(started, grace_period);
+        assert!(
+            plan.answers_due > started + grace_period * 5 / 6,
+            "{grace_ms}"
+        );
+        let time_to_send = plan.exits - plan.answers_due;
+        assert!(time_to_send >= grace_period / 12, "{grace_ms}");
+        assert!(plan.exits < started + grace_period, "{grace_ms}");
     }
 }
 
@@ -20,11 +35,11 @@
 fn request_taken_while_leaving_ends_before_the_process_does() {
     let started = Instant::now();
     let plan = plan(started);
-    for after_ms in (0..5300).step_by(10) {
+    for after_ms in (0..6000).step_by(10) {
         let now = started + Duration::from_millis(after_ms);
         if let Some(timeout) = plan.admitted_timeout(TIMEOUT, LATENCY_TARGET, now) {
             assert!(timeout > Duration::ZERO, "{after_ms} ms");
-            assert!(now + timeout < plan.ends, "{after_ms} ms");
+            assert!(now + timeout <= plan.answers_due, "{after_ms} ms");
         }
     }
 }
--- a/crates/sequoiagw-policy/src/entry_call.rs
+++ b/crates/sequoiagw-policy/src/entry_call.rs
@@ -176,6 +176,8 @@
     pub(crate) attempts: u32,
     pub(crate) redirects: u32,
     pub(crate) deadline: Instant,
+    /// Whether the deadline is earlier than the one that the owner knows.
+    pub(crate) is_cut_short: bool,
     pub(crate) phase: EntryPhase,
     /// Error of an earlier attempt that may have run; replaces any later error that says "not
     /// run".
--- a/crates/sequoiagw-policy/src/entry_failures.rs
+++ b/crates/sequoiagw-policy/src/entry_failures.rs
@@ -2,12 +2,14 @@
 
 use std::time::Duration;
 
+use sequoiagw_protocol::CallCancel;
 use sequoiagw_protocol::CallQuery;
 use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
 use tokio::time::Instant;
 
+use crate::entry_call::EntryCall;
 use crate::entry_call::EntryPhase;
 use crate::entry_machine::DEADLINE_GRACE;
 use crate::EntryAction;
@@ -131,9 +133,7 @@
                 self.set_phase(call, EntryPhase::Withdrawing, now + DEADLINE_GRACE);
             }
             EntryPhase::Withdrawing => self.reply(call, Err(ErrorKind::DeadlineRunning)),
-            _ if now >= entry_call.deadline + DEADLINE_GRACE => {
-                self.reply(call, Err(ErrorKind::DeadlineRunning));
-            }
+            _ if now >= entry_call.deadline + DEADLINE_GRACE => self.end_at_deadline(call),
             EntryPhase::Sending | EntryPhase::AwaitingAnswer => self.query_owner(call, 0, now),
             EntryPhase::Querying {
                 queried_at,
@@ -142,6 +142,38 @@
         }
     }
 
+    /// Moves the deadlines of all open calls that are later forward to `latest`, since this process can't
+    /// answer after that.
+    pub fn limit_deadlines(&mut self, latest: Instant, now: Instant) {
+        let later = |entry_call: &EntryCall| entry_call.deadline > latest;
+        let calls = self.calls.iter().filter(|(_, call)| later(call));
+        let mut calls: Vec<u64> = calls.map(|(id, _)| *id).collect();
+        calls.sort_unstable();
+        for call in calls {
+            let Some(entry_call) = self.calls.get_mut(&call) else {
+                continue;
+            };
+            entry_call.deadline = latest;
+            entry_call.is_cut_short = true;
+            let (phase, wake) = (entry_call.phase, entry_call.wake_at.max(now));
+            self.set_phase(call, phase, wake);
+        }
+    }
+
+    /// Ends a dispatched call without an answer. An owner that knows a later deadline is told that nobody
+    /// waits for the call any more.
+    fn end_at_deadline(&mut self, call: u64) {
+        let cut_short = self.calls.get(&call).filter(|call| call.is_cut_short);
+        if let Some((entry_call, target)) = cut_short.zip(self.target_node(call)) {
+            let cancel = CallCancel {
+                call: entry_call.dispatch_id,
+            };
+            let cancel = FrameBody::Cancel(cancel);
+            self.actions.push(EntryAction::Send(target, cancel));
+        }
+        self.reply(call, Err(ErrorKind::DeadlineRunning));
+    }
+
     pub(crate) fn repeat_query(
         &mut self,
         call: u64,
--- a/crates/sequoiagw-policy/src/entry_machine.rs
+++ b/crates/sequoiagw-policy/src/entry_machine.rs
@@ -137,6 +137,7 @@
             attempts: 0,
             redirects: 0,
             deadline,
+            is_cut_short: false,
             phase: EntryPhase::NotDispatched,
             unknown_outcome: None,
             counted_attempts: 0,
--- a/crates/sequoiagw-policy/tests/unresponsive_nodes.rs
+++ b/crates/sequoiagw-policy/tests/unresponsive_nodes.rs
@@ -15,6 +15,7 @@
 use sequoiagw_protocol::CallAnswer;
 use sequoiagw_protocol::CallDispatch;
 use sequoiagw_protocol::CallOutcome;
+use sequoiagw_protocol::ErrorKind;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
 use sequoiagw_protocol::RankLevel;
@@ -250,3 +251,61 @@
     assert!(record.placement.is_some());
     assert_eq!(record.last_contact_age, None);
 }
+
+/// A call with the error that its caller got, and when.
+type CallEnd = (u64, Option<ErrorKind>, Instant);
+
+/// Ticks an entry every 10 ms until `end`; returns the replies' error kinds with their times, and the
+/// nodes that got cancellations.
+fn run_until(entry: &mut EntryMachine, start: Instant, end: Instant) -> (Vec<CallEnd>, Vec<u64>) {
+    let (mut replies, mut cancelled) = (Vec::new(), Vec::new());
+    let mut now = start;
+    while now < end {
+        entry.on_tick(now);
+        for action in entry.take_actions() {
+            match action {
+                EntryAction::Reply(call, reply) => replies.push((call, reply.outcome.err(), now)),
+                EntryAction::Send(node, FrameBody::Cancel(_)) => cancelled.push(node.get()),
+                _ => {}
+            }
+        }
+        now += Duration::from_millis(10);
+    }
+    (replies, cancelled)
+}
+
+/// LOST: a call that outlasts its process kept the replies behind it from being sent.
+#[test]
+fn calls_that_outlast_the_process_end_before_it_and_are_cancelled_at_their_owners() {
+    let now = Instant::now();
+    let mut entry = entry();
+    let long = CallSpec {
+        timeout: Duration::from_secs(10),
+        ..spec("press")
+    };
+    let short = CallSpec {
+        timeout: Duration::from_secs(1),
+        ..spec("press")
+    };
+    let long_call = entry.begin_call(long, CallRequest::default(), now);
+    let short_call = entry.begin_call(short, CallRequest::default(), now);
+    let latest = now + Duration::from_secs(5);
+    entry.limit_deadlines(latest, now);
+    let (replies, cancelled) = run_until(&mut entry, now, now + Duration::from_secs(12));
+    let kinds: Vec<_> = replies
+        .iter()
+        .map(|(call, kind, _)| (*call, *kind))
+        .collect();
+    // Both may have run.
+    let expected = [short_call, long_call].map(|call| (call, Some(ErrorKind::DeadlineRunning)));
+    assert_eq!(kinds, expected);
+    let ended = replies[1].2;
+    assert!(ended >= latest, "the backend server may answer until then");
+    assert!(ended <= latest + Duration::from_millis(50));
+    assert_eq!(
+        cancelled,
+        [1],
+        "the owner of the long call knows a later deadline"
+    );
+    assert_eq!(entry.open_calls(), 0);
+}
--- a/crates/sequoiagw-soak/src/soak_fleet.rs
+++ b/crates/sequoiagw-soak/src/soak_fleet.rs
@@ -18,6 +18,7 @@
 use sequoiagw_platform_standins::PlatformBackend;
 use sequoiagw_platform_standins::RouteConfig;
 use sequoiagw_platform_standins::CONFIG_KEY;
+use sequoiagw_platform_standins::ROUTE_TIMEOUT;
 
 use crate::loopback_proxy::LoopbackProxy;
 use crate::node_process::NodeProcess;
@@ -96,17 +97,20 @@
                 name: "order".to_owned(),
                 service: SERVICES[version as usize % SERVICES.len()].to_owned(),
                 idempotent: false,
+                timeout: ROUTE_TIMEOUT,
             },
             RouteConfig {
                 name: "look".to_owned(),
                 service: SERVICES[0].to_owned(),
                 idempotent: true,
+                timeout: ROUTE_TIMEOUT,
             },
         ];
         routes.extend((1..=version).map(|number| RouteConfig {
             name: format!("v{number}"),
             service: SERVICES[1].to_owned(),
             idempotent: true,
+            timeout: ROUTE_TIMEOUT,
         }));
         self.store.put(CONFIG_KEY, &config_json(version, &routes));
     }
--- a/tests/platform_processes/fleet.rs
+++ b/tests/platform_processes/fleet.rs
@@ -17,6 +17,7 @@
 use sequoiagw_platform_standins::PlatformCaller;
 use sequoiagw_platform_standins::RouteConfig;
 use sequoiagw_platform_standins::CONFIG_KEY;
+use sequoiagw_platform_standins::ROUTE_TIMEOUT;
 use sequoiagw_soak::run_address;
 use sequoiagw_soak::NodeProcess;
 use tokio::time::sleep;
@@ -29,6 +30,8 @@
 pub const DOWNTIME: Duration = Duration::from_millis(700);
 /// Time that a caller waits for its answer.
 const CALL_DEADLINE: Duration = Duration::from_secs(4);
+/// Timeout of the route `report`, longer than the grace period of a planned stop.
+const LONG_ROUTE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Upper bound on the time until all nodes serve.
 const STARTUP_TIMEOUT: Duration = Duration::from_secs(30);
 const BASE_PORT: u16 = 21_000;
@@ -53,10 +56,16 @@
     /// serves. `run` differs for each test of the process.
     pub async fn start(run: u32, service_time: Duration) -> Self {
         let store = KvStandin::start().await;
-        let routes = [("look", true), ("order", false)].map(|(name, idempotent)| RouteConfig {
+        let routes = [
+            ("look", true, ROUTE_TIMEOUT),
+            ("order", false, ROUTE_TIMEOUT),
+            ("report", true, LONG_ROUTE_TIMEOUT),
+        ];
+        let routes = routes.map(|(name, idempotent, timeout)| RouteConfig {
             name: name.to_owned(),
             service: SERVICE.to_owned(),
             idempotent,
+            timeout,
         });
         store.put(CONFIG_KEY, &config_json(1, &routes));
         let folder = std::env::temp_dir().join(format!("crash-{}-{run}", std::process::id()));
--- a/tests/platform_processes/main.rs
+++ b/tests/platform_processes/main.rs
@@ -4,3 +4,4 @@
 mod crashing_requests;
 mod fleet;
 mod planned_stop;
+mod stopped_pipelines;
