Logs: what a counter of quotas grants, and from which part of the rate

FleetReach holds the nodes that count as reached and all of them; the share follows from it, as before.

--- a/crates/sequoiagw-mesh/src/core_quotas.rs
+++ b/crates/sequoiagw-mesh/src/core_quotas.rs
@@ -20,7 +20,9 @@
 use tokio::time::Instant;
 use tracing::info;
 
+use crate::grant_log::GrantRecord;
 use crate::quota_counter::first_counter;
+use crate::FleetReach;
 use crate::MeshAction;
 use crate::MeshCore;
 
@@ -73,13 +75,20 @@
         let answer = match quota {
             Some(limit) => {
                 let mandate = self.counter_mandate(&request.workspace, now);
-                let (Some(mandate), Some(quotas)) = (mandate, &mut self.quotas) else {
+                let (Some((mandate, reach)), Some(quotas)) = (mandate, &mut self.quotas) else {
                     return;
                 };
-                let name = &request.workspace;
-                quotas
-                    .ledger
-                    .grant(name, limit, request.wanted, mandate, now)
+                let (name, wanted) = (&request.workspace, request.wanted);
+                let answer = quotas.ledger.grant(name, limit, wanted, mandate, now);
+                let record = GrantRecord {
+                    asker: from,
+                    wanted,
+                    granted: answer.granted,
+                    mandate,
+                    reach,
+                };
+                quotas.grant_log.record(name, record, now);
+                answer
             }
             None => QuotaAnswer {
                 granted: request.wanted,
@@ -152,6 +161,7 @@
         self.note_quota_activity(now);
         if let Some(quotas) = &mut self.quotas {
             quotas.cache.on_tick(now);
+            quotas.grant_log.write_due(now);
             self.run_quota_actions(now);
             self.send_quota_probes(now);
         }
@@ -166,8 +176,13 @@
         quotas.cache.next_wake().into_iter().chain(probe).min()
     }
 
-    /// Part of this node in counting a workspace; `None` if quotas are off.
-    fn counter_mandate(&mut self, workspace: &str, now: Instant) -> Option<CounterMandate> {
+    /// Part of this node in counting a workspace, and the part of the fleet that it follows from; `None` if
+    /// quotas are off.
+    fn counter_mandate(
+        &mut self,
+        workspace: &str,
+        now: Instant,
+    ) -> Option<(CounterMandate, FleetReach)> {
         let nodes = self.directory.boots().map(|(node, _)| node);
         let first = first_counter(workspace, nodes, |_| false);
         let running = |node| {
@@ -180,12 +195,14 @@
         });
         let directory = &self.directory;
         let quotas = self.quotas.as_mut()?;
-        Some(CounterMandate {
-            share: quotas.mandate(other.is_some(), || directory.recent_counts(), now),
+        let reach = quotas.mandate(other.is_some(), || directory.recent_counts(), now);
+        let mandate = CounterMandate {
+            share: reach.share(),
             standing: substitute.unwrap_or(CounterStanding::First {
                 since: quotas.counting_since(),
             }),
-        })
+        };
+        Some((mandate, reach))
     }
 
     fn run_quota_actions(&mut self, now: Instant) {
--- a/crates/sequoiagw-mesh/src/node_quotas.rs
+++ b/crates/sequoiagw-mesh/src/node_quotas.rs
@@ -10,6 +10,8 @@
 use sequoiagw_protocol::NodeId;
 use tokio::time::Instant;
 
+use crate::grant_log::GrantLog;
+use crate::FleetReach;
 use crate::QuotaContacts;
 use crate::QuotaSettings;
 
@@ -32,6 +34,7 @@
     pub(crate) cache: QuotaCache,
     pub(crate) ledger: QuotaLedger,
     pub(crate) contacts: QuotaContacts,
+    pub(crate) grant_log: GrantLog,
     /// Counter that each request under way was sent to.
     pub(crate) asked: HashMap<u64, NodeId>,
     members: BTreeSet<NodeId>,
@@ -47,6 +50,7 @@
             cache: QuotaCache::new(boot),
             ledger: QuotaLedger::new(settings.tolerance, now),
             contacts: QuotaContacts::new(data_centre, now),
+            grant_log: GrantLog::default(),
             asked: HashMap::new(),
             members: BTreeSet::new(),
             counting_since: now,
@@ -79,14 +83,14 @@
         self.counting_since
     }
 
-    /// Part of the rate that this node may grant, as substitute or as first counter; `count_nodes` returns the numbers of nodes by data
-    /// centre.
+    /// Part of the fleet of which this node may grant the permits, as substitute or as first counter;
+    /// `count_nodes` returns the numbers of nodes by data centre.
     pub(crate) fn mandate<CountNodes>(
         &mut self,
         is_substitute: bool,
         count_nodes: CountNodes,
         now: Instant,
-    ) -> f64
+    ) -> FleetReach
     where
         CountNodes: FnOnce() -> BTreeMap<String, usize>,
     {
@@ -97,10 +101,10 @@
                 counts: count_nodes(),
                 at: now,
             });
-        let mandate = self
+        let reach = self
             .contacts
             .mandate(&centre_counts.counts, is_substitute, now);
         self.centre_counts = Some(centre_counts);
-        mandate
+        reach
     }
 }
--- a/crates/sequoiagw-mesh/src/quota_contacts.rs
+++ b/crates/sequoiagw-mesh/src/quota_contacts.rs
@@ -21,6 +21,25 @@
 /// Largest number of unresponsive nodes that are probed at once.
 const MAX_PROBED_NODES: usize = 8;
 
+/// Part of the fleet that a node reaches.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct FleetReach {
+    /// Nodes that count as reached, with this one.
+    pub reached: usize,
+    /// All nodes.
+    pub nodes: usize,
+}
+
+impl FleetReach {
+    /// Part of a workspace's rate that the node may grant as counter, from 0 to 1.
+    pub fn share(self) -> f64 {
+        match self.nodes {
+            0 => 1.0,
+            nodes => self.reached as f64 / nodes as f64,
+        }
+    }
+}
+
 /// Contacts of a node with the others.
 #[derive(Clone, Debug)]
 pub struct QuotaContacts {
@@ -77,8 +96,8 @@
         heard.is_some_and(|heard| now < *heard + within)
     }
 
-    /// Part of a workspace's rate that this node may grant as counter: the share of the fleet's nodes
-    /// that are in data centres in touch. `counts` has the number of nodes by data centre.
+    /// Part of the fleet of which this node may grant the permits as counter: the nodes that are in data
+    /// centres in touch. `counts` has the number of nodes by data centre.
     ///
     /// A data centre in touch counts whole, so a node that hears from no neighbour doesn't count: the others
     /// of its data centre grant its part, since they can't know that it is cut off.
@@ -87,13 +106,12 @@
         counts: &BTreeMap<String, usize>,
         is_substitute: bool,
         now: Instant,
-    ) -> f64 {
+    ) -> FleetReach {
         let within = if is_substitute {
             SUBSTITUTE_IN_TOUCH_TIME
         } else {
             IN_TOUCH_TIME
         };
-        let all: usize = counts.values().sum();
         let in_touch = counts.iter().map(|(centre, count)| {
             let is_alone = *centre == self.own_centre && *count <= 1;
             if is_alone || self.is_heard(centre, within, now) {
@@ -102,10 +120,9 @@
                 0
             }
         });
-        let reached: usize = in_touch.sum();
-        match all {
-            0 => 1.0,
-            _ => reached as f64 / all as f64,
+        FleetReach {
+            reached: in_touch.sum(),
+            nodes: counts.values().sum(),
         }
     }
 
