--- a/crates/sequoiagw-mesh/src/core_frames.rs
+++ b/crates/sequoiagw-mesh/src/core_frames.rs
@@ -70,6 +70,9 @@
                     FrameBody::QuotaRequest(request) => {
                         self.on_quota_undelivered(request.request, now);
                     }
+                    FrameBody::Probe(probe) => {
+                        self.on_reach_undelivered(node, probe.sequence, now);
+                    }
                     _ => {}
                 }
             }
@@ -141,6 +144,8 @@
             FrameBody::QuotaRequest(request) if self.has_quotas() => {
                 self.on_quota_request(from, &request, now);
             }
+            FrameBody::Probe(probe) => self.answer_reach_probe(from, probe.sequence),
+            FrameBody::ProbeAnswer(answer) => self.on_reach_answer(from, answer.sequence, now),
             FrameBody::QuotaGrant(grant) if self.has_quotas() => self.on_quota_grant(grant, now),
             _ => self.counters.count("frame.unexpected"),
         }
--- a/crates/sequoiagw-mesh/src/core_quotas.rs
+++ b/crates/sequoiagw-mesh/src/core_quotas.rs
@@ -15,6 +15,8 @@
 use sequoiagw_protocol::CallQuery;
 use sequoiagw_protocol::FrameBody;
 use sequoiagw_protocol::NodeId;
+use sequoiagw_protocol::ProbeAnswer;
+use sequoiagw_protocol::ProbeMessage;
 use sequoiagw_protocol::QuotaGrant;
 use sequoiagw_protocol::QuotaRequest;
 use tokio::time::Instant;
@@ -26,11 +28,6 @@
 use crate::MeshAction;
 use crate::MeshCore;
 
-/// Time after the last message from a node for which it counts as running.
-const CONTACT_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Time after the last request for permits for which a counter keeps in touch with other data
-/// centres.
-const COUNTER_ACTIVE_TIME: Duration = Duration::from_secs(5);
 /// Nodes of a data centre that are probed at once when nothing was heard from it.
 const PROBES_PER_CENTRE: usize = 2;
 
@@ -80,6 +77,9 @@
                 };
                 let (name, wanted) = (&request.workspace, request.wanted);
                 let answer = quotas.ledger.grant(name, limit, wanted, mandate, now);
+                if quotas.ledger.is_short(name, limit) {
+                    quotas.on_shortage(now);
+                }
                 let record = GrantRecord {
                     asker: from,
                     wanted,
@@ -103,6 +103,7 @@
             retry_after_ms: whole_millis(answer.retry_after),
         };
         self.send(from, FrameBody::QuotaGrant(grant));
+        self.send_reach_probes(now);
     }
 
     /// Handles a counter's answer.
@@ -153,6 +154,7 @@
         if let Some(quotas) = &mut self.quotas {
             let members = self.directory.boots().map(|(node, _)| node);
             quotas.set_members(members.collect(), now);
+            quotas.reach.set_nodes(self.directory.quota_nodes());
         }
     }
 
@@ -164,16 +166,17 @@
             quotas.grant_log.write_due(now);
             self.run_quota_actions(now);
             self.send_quota_probes(now);
+            self.send_reach_probes(now);
         }
     }
 
     /// Earliest time at which [`Self::tick_quotas`] has something to do.
     pub(crate) fn quota_wake(&self, now: Instant) -> Option<Instant> {
         let quotas = self.quotas.as_ref()?;
-        let probe = self
-            .needs_quota_probes(now)
-            .then(|| quotas.contacts.next_probe());
-        quotas.cache.next_wake().into_iter().chain(probe).min()
+        let contacts = &quotas.contacts;
+        let probe = contacts.has_silent().then(|| contacts.next_probe());
+        let times = [quotas.cache.next_wake(), probe, quotas.next_probes(now)];
+        times.into_iter().flatten().min()
     }
 
     /// Part of this node in counting a workspace, and the part of the fleet that it follows from; `None` if
@@ -185,17 +188,15 @@
     ) -> Option<(CounterMandate, FleetReach)> {
         let nodes = self.directory.boots().map(|(node, _)| node);
         let first = first_counter(workspace, nodes, |_| false);
-        let running = |node| {
-            let contact = self.calls.entry.last_contact(node);
-            contact.is_some_and(|contact| now < contact + CONTACT_TIMEOUT)
-        };
         let other = first.filter(|node| *node != self.node);
+        let quotas = self.quotas.as_mut()?;
+        if let Some(first) = other {
+            quotas.on_replacement(first, now);
+        }
+        let reach = quotas.fleet_reach(now);
         let substitute = other.map(|node| CounterStanding::Substitute {
-            first_is_running: running(node),
+            first_is_running: quotas.reach.is_running(node, now),
         });
-        let directory = &self.directory;
-        let quotas = self.quotas.as_mut()?;
-        let reach = quotas.mandate(other.is_some(), || directory.recent_counts(), now);
         let mandate = CounterMandate {
             share: reach.share(),
             standing: substitute.unwrap_or(CounterStanding::First {
@@ -262,25 +263,52 @@
         quotas.contacts.on_unanswered(node, centre, now);
     }
 
-    /// Whether this node has to find out which nodes and data centres it can reach.
-    fn needs_quota_probes(&self, now: Instant) -> bool {
-        self.quotas.as_ref().is_some_and(|quotas| {
-            let last_request = quotas.ledger.last_request();
-            let is_counting = last_request.is_some_and(|last| now < last + COUNTER_ACTIVE_TIME);
-            is_counting || quotas.contacts.has_silent()
-        })
+    /// Answers a node that wants to know whether it reaches this one.
+    pub(crate) fn answer_reach_probe(&mut self, from: NodeId, sequence: u64) {
+        let answer = ProbeAnswer {
+            sequence,
+            probed: self.node.get(),
+            ..ProbeAnswer::default()
+        };
+        self.send(from, FrameBody::ProbeAnswer(answer));
     }
 
-    /// Probes nodes that didn't answer, and data centres from which nothing was heard.
-    fn send_quota_probes(&mut self, now: Instant) {
-        if !self.needs_quota_probes(now) {
+    /// Handles the answer to a probe.
+    pub(crate) fn on_reach_answer(&mut self, from: NodeId, sequence: u64, now: Instant) {
+        if let Some(quotas) = &mut self.quotas {
+            quotas.reach.on_answer(from, sequence, now);
+        }
+    }
+
+    /// Handles a probe that couldn't be sent.
+    pub(crate) fn on_reach_undelivered(&mut self, node: NodeId, sequence: u64, now: Instant) {
+        if let Some(quotas) = &mut self.quotas {
+            quotas.reach.on_undelivered(node, sequence, now);
+        }
+    }
+
+    /// Probes nodes of the fleet while a bucket of this node runs short.
+    fn send_reach_probes(&mut self, now: Instant) {
+        let Some(quotas) = &mut self.quotas else {
             return;
+        };
+        for probe in quotas.start_probes(&mut self.rng, now) {
+            let message = ProbeMessage {
+                sequence: probe.sequence,
+                ..ProbeMessage::default()
+            };
+            self.counters.count("quota.probes_sent");
+            self.send(probe.node, FrameBody::Probe(message));
         }
+    }
+
+    /// Probes counters that didn't answer, and data centres that are left out with one.
+    fn send_quota_probes(&mut self, now: Instant) {
         let first = NodeId::from(self.rng.random::<u64>());
         let Some(quotas) = &mut self.quotas else {
             return;
         };
-        if !quotas.contacts.start_probes(now) {
+        if !quotas.contacts.has_silent() || !quotas.contacts.start_probes(now) {
             return;
         }
         let mut probed: BTreeSet<NodeId> =
--- a/crates/sequoiagw-mesh/src/fleet_directory.rs
+++ b/crates/sequoiagw-mesh/src/fleet_directory.rs
@@ -214,15 +214,15 @@
         Some(&record.registration.data_centre)
     }
 
-    /// Numbers of nodes by data centre, with those that departed in the last minute.
-    pub fn recent_counts(&self) -> BTreeMap<String, usize> {
-        let departed = self.departures.values().map(|departure| &departure.record);
-        let mut counts = BTreeMap::new();
-        for record in self.nodes.values().chain(departed) {
-            let centre = record.registration.data_centre.clone();
-            *counts.entry(centre).or_insert(0) += 1;
-        }
-        counts
+    /// Nodes that may grant or use permits of quotas: all but those that stop as planned, and those that
+    /// departed in the last minute without having said so, since they may run behind a cut.
+    pub fn quota_nodes(&self) -> BTreeSet<NodeId> {
+        let departed = self.departures.iter();
+        let departed = departed.map(|(node, departure)| (node, &departure.record));
+        let all = self.nodes.iter().chain(departed);
+        all.filter(|(_, record)| !record.registration.stopping)
+            .map(|(node, _)| *node)
+            .collect()
     }
 
     /// Nodes at an address.
--- a/crates/sequoiagw-mesh/src/grant_log.rs
+++ b/crates/sequoiagw-mesh/src/grant_log.rs
@@ -115,6 +115,7 @@
             share = format!("{:.3}", self.last.mandate.share),
             least_share = format!("{:.3}", self.least_share),
             reached = self.last.reach.reached,
+            unreached = self.last.reach.unreached,
             nodes = self.last.reach.nodes,
             over_ms = now.saturating_duration_since(self.started).as_millis() as u64,
         );
--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -114,7 +114,7 @@
         let address = backend.address.to_string();
         let quotas = settings
             .quota
-            .map(|quota| NodeQuotas::new(quota, &settings.data_centre, boot, Instant::now()));
+            .map(|quota| NodeQuotas::new(quota, &settings, boot, Instant::now()));
         Self {
             node,
             boot,
@@ -244,6 +244,7 @@
             store_era: self.store_era,
             backend_version: self.registered_version(),
             departures_known: self.believes_heartbeats(),
+            stopping: self.draining,
         }
     }
 
--- a/crates/sequoiagw-mesh/src/node_quotas.rs
+++ b/crates/sequoiagw-mesh/src/node_quotas.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
+use rand::Rng;
 use sequoiagw_policy::QuotaCache;
 use sequoiagw_policy::QuotaLedger;
 use sequoiagw_protocol::NodeId;
@@ -12,21 +13,20 @@
 
 use crate::grant_log::GrantLog;
 use crate::FleetReach;
+use crate::MeshSettings;
 use crate::QuotaContacts;
 use crate::QuotaSettings;
+use crate::ReachMonitor;
+use crate::ReachProbe;
 
 /// Time without activity after which the process counts as paused. It is active at least once a
 /// second otherwise.
 const PAUSE_TIME: Duration = Duration::from_secs(2);
-/// Time for which the numbers of nodes by data centre are kept.
-const COUNTS_RETENTION: Duration = Duration::from_millis(250);
-
-/// Numbers of nodes by data centre.
-#[derive(Clone, Debug)]
-struct CentreCounts {
-    counts: BTreeMap<String, usize>,
-    at: Instant,
-}
+/// Time for which an estimate of the reached part of the fleet is used.
+const REACH_RETENTION: Duration = Duration::from_millis(20);
+/// Time for which nodes are probed after a bucket of this node ran short. A bucket that doesn't grants what
+/// it is asked for in any case.
+const PROBING_TIME: Duration = Duration::from_secs(1);
 
 /// State of quotas at a node.
 #[derive(Clone, Debug)]
@@ -34,6 +34,7 @@
     pub(crate) cache: QuotaCache,
     pub(crate) ledger: QuotaLedger,
     pub(crate) contacts: QuotaContacts,
+    pub(crate) reach: ReachMonitor,
     pub(crate) grant_log: GrantLog,
     /// Counter that each request under way was sent to.
     pub(crate) asked: HashMap<u64, NodeId>,
@@ -41,21 +42,34 @@
     /// When a node was last removed, which may have made this node a counter.
     counting_since: Instant,
     last_activity: Instant,
-    centre_counts: Option<CentreCounts>,
+    latest_reach: Option<(Instant, FleetReach)>,
+    /// Until when nodes are probed.
+    probing_until: Instant,
+    /// First counters in whose place this node was asked, with the time of the latest request.
+    replaced_counters: BTreeMap<NodeId, Instant>,
 }
 
 impl NodeQuotas {
-    pub(crate) fn new(settings: QuotaSettings, data_centre: &str, boot: u64, now: Instant) -> Self {
+    pub(crate) fn new(
+        quota: QuotaSettings,
+        settings: &MeshSettings,
+        boot: u64,
+        now: Instant,
+    ) -> Self {
+        let own = NodeId::from_name(&settings.name);
         Self {
             cache: QuotaCache::new(boot),
-            ledger: QuotaLedger::new(settings.tolerance, now),
-            contacts: QuotaContacts::new(data_centre, now),
+            ledger: QuotaLedger::new(quota.tolerance, now),
+            contacts: QuotaContacts::new(&settings.data_centre, now),
+            reach: ReachMonitor::new(own, boot, now),
             grant_log: GrantLog::default(),
             asked: HashMap::new(),
             members: BTreeSet::new(),
             counting_since: now,
             last_activity: now,
-            centre_counts: None,
+            latest_reach: None,
+            probing_until: now,
+            replaced_counters: BTreeMap::new(),
         }
     }
 
@@ -83,28 +97,49 @@
         self.counting_since
     }
 
-    /// Part of the fleet of which this node may grant the permits, as substitute or as first counter;
-    /// `count_nodes` returns the numbers of nodes by data centre.
-    pub(crate) fn mandate<CountNodes>(
+    /// Part of the fleet that this node reaches, as of a short time ago.
+    pub(crate) fn fleet_reach(&mut self, now: Instant) -> FleetReach {
+        let latest = self.latest_reach;
+        let latest = latest.filter(|(at, _)| now < *at + REACH_RETENTION);
+        let (at, reach) = latest.unwrap_or_else(|| {
+            self.reach.check_overdue(now);
+            (now, self.reach.reach(now))
+        });
+        self.latest_reach = Some((at, reach));
+        reach
+    }
+
+    /// Records that a bucket of this node has run short.
+    pub(crate) fn on_shortage(&mut self, now: Instant) {
+        self.probing_until = now + PROBING_TIME;
+    }
+
+    /// Records that this node was asked in the place of a first counter.
+    pub(crate) fn on_replacement(&mut self, first: NodeId, now: Instant) {
+        self.replaced_counters.insert(first, now);
+        self.replaced_counters
+            .retain(|_, asked| now < *asked + PROBING_TIME);
+    }
+
+    /// Time of the next probes of the fleet's nodes, `None` if none are needed.
+    pub(crate) fn next_probes(&self, now: Instant) -> Option<Instant> {
+        (now < self.probing_until).then(|| self.reach.next_round())
+    }
+
+    /// Probes of the fleet's nodes that are due.
+    pub(crate) fn start_probes<Generator>(
         &mut self,
-        is_substitute: bool,
-        count_nodes: CountNodes,
+        rng: &mut Generator,
         now: Instant,
-    ) -> FleetReach
+    ) -> Vec<ReachProbe>
     where
-        CountNodes: FnOnce() -> BTreeMap<String, usize>,
+        Generator: Rng,
     {
-        let kept = self.centre_counts.take();
-        let centre_counts = kept
-            .filter(|kept| now < kept.at + COUNTS_RETENTION)
-            .unwrap_or_else(|| CentreCounts {
-                counts: count_nodes(),
-                at: now,
-            });
-        let reach = self
-            .contacts
-            .mandate(&centre_counts.counts, is_substitute, now);
-        self.centre_counts = Some(centre_counts);
-        reach
+        if now >= self.probing_until {
+            return Vec::new();
+        }
+        self.reach.check_overdue(now);
+        let watched: Vec<NodeId> = self.replaced_counters.keys().copied().collect();
+        self.reach.start_round(&watched, rng, now)
     }
 }
--- a/crates/sequoiagw-mesh/src/node_registration.rs
+++ b/crates/sequoiagw-mesh/src/node_registration.rs
@@ -70,6 +70,9 @@
     /// `leaving` names the latest one.
     #[serde(default)]
     pub departures_known: bool,
+    /// Whether the process that wrote the registration stops as planned.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub stopping: bool,
 }
 
 impl NodeRegistration {
--- a/crates/sequoiagw-mesh/src/quota_contacts.rs
+++ b/crates/sequoiagw-mesh/src/quota_contacts.rs
@@ -1,5 +1,4 @@
-//! Contacts with other nodes, as far as quotas depend on them: which counters don't answer, and which
-//! data centres are in touch.
+//! Contacts of an entry with the counters of quotas: which ones don't answer.
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
@@ -8,11 +7,6 @@
 use sequoiagw_protocol::NodeId;
 use tokio::time::Instant;
 
-/// Time after the last message from a data centre for which it is in touch.
-const IN_TOUCH_TIME: Duration = Duration::from_millis(1500);
-/// The same for a substitute. That it is asked shows that something has just changed, and the first
-/// counter may still have its whole mandate.
-const SUBSTITUTE_IN_TOUCH_TIME: Duration = Duration::from_millis(600);
 /// Time without a message from a data centre after which a counter there that doesn't answer is taken
 /// to be cut off with all of it.
 const CUT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -21,25 +15,6 @@
 /// Largest number of unresponsive nodes that are probed at once.
 const MAX_PROBED_NODES: usize = 8;
 
-/// Part of the fleet that a node reaches.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct FleetReach {
-    /// Nodes that count as reached, with this one.
-    pub reached: usize,
-    /// All nodes.
-    pub nodes: usize,
-}
-
-impl FleetReach {
-    /// Part of a workspace's rate that the node may grant as counter, from 0 to 1.
-    pub fn share(self) -> f64 {
-        match self.nodes {
-            0 => 1.0,
-            nodes => self.reached as f64 / nodes as f64,
-        }
-    }
-}
-
 /// Contacts of a node with the others.
 #[derive(Clone, Debug)]
 pub struct QuotaContacts {
@@ -96,36 +71,6 @@
         heard.is_some_and(|heard| now < *heard + within)
     }
 
-    /// Part of the fleet of which this node may grant the permits as counter: the nodes that are in data
-    /// centres in touch. `counts` has the number of nodes by data centre.
-    ///
-    /// A data centre in touch counts whole, so a node that hears from no neighbour doesn't count: the others
-    /// of its data centre grant its part, since they can't know that it is cut off.
-    pub fn mandate(
-        &self,
-        counts: &BTreeMap<String, usize>,
-        is_substitute: bool,
-        now: Instant,
-    ) -> FleetReach {
-        let within = if is_substitute {
-            SUBSTITUTE_IN_TOUCH_TIME
-        } else {
-            IN_TOUCH_TIME
-        };
-        let in_touch = counts.iter().map(|(centre, count)| {
-            let is_alone = *centre == self.own_centre && *count <= 1;
-            if is_alone || self.is_heard(centre, within, now) {
-                *count
-            } else {
-                0
-            }
-        });
-        FleetReach {
-            reached: in_touch.sum(),
-            nodes: counts.values().sum(),
-        }
-    }
-
     /// Whether probes are due; if so, the next ones are due 0.25 s later.
     pub fn start_probes(&mut self, now: Instant) -> bool {
         let is_due = now >= self.next_probe;
--- a/crates/sequoiagw-mesh/src/registration_change.rs
+++ b/crates/sequoiagw-mesh/src/registration_change.rs
@@ -49,6 +49,7 @@
         if record.state() == MemberState::Left {
             return Self::Removed(NodeId::from(record.node), revision);
         }
+        let stopping = record.state() == MemberState::Draining;
         let registration = NodeRegistration {
             name: record.name,
             boot: record.boot,
@@ -61,6 +62,7 @@
             store_era: era,
             backend_version: record.backend_version,
             departures_known: record.departures_known,
+            stopping,
         };
         Self::Written(registration, revision)
     }
@@ -80,7 +82,7 @@
                 boot: registration.boot,
                 revision: revision.number as u32,
                 store_era: revision.era.0,
-                state: MemberState::Ready.into(),
+                state: written_state(registration).into(),
                 address: registration.address.clone(),
                 data_centre: registration.data_centre.clone(),
                 service: registration.service.clone(),
@@ -95,3 +97,12 @@
         }
     }
 }
+
+/// State of a node that has a registration.
+const fn written_state(registration: &NodeRegistration) -> MemberState {
+    if registration.stopping {
+        MemberState::Draining
+    } else {
+        MemberState::Ready
+    }
+}
--- a/crates/sequoiagw-mesh/tests/quota_fleet/bound_property.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/bound_property.rs
@@ -1,8 +1,9 @@
-//! The bound under arbitrary cuts, pauses, deaths and demand.
+//! The bound under arbitrary partitions, cuts, pauses, deaths and demand.
 
 use std::time::Duration;
 
 use bolero::TypeGenerator;
+use sequoiagw_policy::QuotaLimit;
 
 use crate::fleet_parts::demand;
 use crate::fleet_parts::limit;
@@ -10,6 +11,8 @@
 
 /// Nodes of the fleet, in three data centres.
 const FLEET_SIZE: usize = 12;
+/// Rate of the workspace in cases of partitions.
+const RATE_PER_S: f64 = 200.0;
 /// Largest number of events in a case.
 const MAX_EVENTS: usize = 16;
 
@@ -108,3 +111,64 @@
             fleet.assert_within_bound("large", quota);
         });
 }
+
+/// A change of the partition or of the load.
+#[derive(Clone, Copy, Debug, TypeGenerator)]
+enum PartitionEvent {
+    /// Puts each node into one of up to four parts, by a bit of each number.
+    Divide(u16, u16),
+    /// Lets messages of one part reach another one.
+    OpenWay(u8, u8),
+    /// Ends all cuts.
+    Heal,
+    /// Changes the demand, up to 8 times the quota.
+    Demand(u8),
+}
+
+fn apply_partition(fleet: &mut QuotaFleet, event: PartitionEvent, demand_factor: &mut f64) {
+    match event {
+        PartitionEvent::Divide(low, high) => {
+            let bit = |number: u16, node: usize| usize::from(number >> node & 1);
+            for node in fleet.all() {
+                fleet.set_part(&[node], bit(low, node) + 2 * bit(high, node));
+            }
+        }
+        PartitionEvent::OpenWay(from, to) => {
+            fleet.open_way(usize::from(from % 4), usize::from(to % 4));
+        }
+        PartitionEvent::Heal => {
+            let all = fleet.all();
+            fleet.set_part(&all, 0);
+            fleet.open_ways.clear();
+        }
+        PartitionEvent::Demand(tenths) => *demand_factor = f64::from(tenths % 80) / 10.0,
+    }
+}
+
+/// QUOTA: parts of the fleet that each counted nodes of the others as theirs (review/8).
+#[test]
+fn any_window_stays_within_the_bound_in_any_partition() {
+    bolero::check!()
+        .with_type::<(u64, bool, Vec<(PartitionEvent, u8)>)>()
+        .with_iterations(150)
+        .for_each(|(seed, has_burst, events)| {
+            let quota = QuotaLimit {
+                burst: if *has_burst { RATE_PER_S } else { 0.0 },
+                ..limit(RATE_PER_S)
+            };
+            let mut fleet = QuotaFleet::start(FLEET_SIZE, *seed, &[("large", quota)]);
+            let mut factor = 3.0;
+            let advance = |fleet: &mut QuotaFleet, factor: f64, time: Duration| {
+                let load = [demand("large", RATE_PER_S * factor, fleet.all())];
+                fleet.run(time, &load);
+            };
+            advance(&mut fleet, factor, Duration::from_secs(3));
+            for (event, after) in events.iter().take(MAX_EVENTS) {
+                apply_partition(&mut fleet, *event, &mut factor);
+                let time = Duration::from_millis(50) * u32::from(after % 50);
+                advance(&mut fleet, factor, time);
+            }
+            advance(&mut fleet, factor, Duration::from_secs(5));
+            fleet.assert_within_bound("large", quota);
+        });
+}
--- a/crates/sequoiagw-mesh/tests/quota_fleet/fleet_changes.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/fleet_changes.rs
@@ -18,6 +18,11 @@
         }
     }
 
+    /// Lets messages of one part reach another one, and none the other way.
+    pub fn open_way(&mut self, from: usize, to: usize) {
+        self.open_ways.insert((from, to));
+    }
+
     /// Ends a node's process.
     pub fn kill(&mut self, node: usize) {
         self.members[node].is_alive = false;
--- a/crates/sequoiagw-mesh/tests/quota_fleet/main.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/main.rs
@@ -5,6 +5,7 @@
 mod fleet_changes;
 mod fleet_faults;
 mod fleet_loads;
+mod fleet_partitions;
 mod fleet_parts;
 mod message_figures;
 mod quota_fleet;
--- a/crates/sequoiagw-mesh/tests/quota_fleet/quota_fleet.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/quota_fleet.rs
@@ -76,6 +76,8 @@
     network: BTreeMap<(Instant, u64), Delivery>,
     pub sent: u64,
     pub waiting: HashMap<(usize, u64), (String, Instant)>,
+    /// Pairs of parts of which the first still reaches the second.
+    pub open_ways: BTreeSet<(usize, usize)>,
 }
 
 impl QuotaFleet {
@@ -111,6 +113,7 @@
             network: BTreeMap::new(),
             sent: 0,
             waiting: HashMap::new(),
+            open_ways: BTreeSet::new(),
         };
         for index in 0..size {
             let stored = registrations.iter().cloned();
@@ -224,9 +227,9 @@
             return;
         };
         let now = self.now;
-        let sender_part = self.members[delivery.from].part;
+        let is_open = self.reaches(delivery.from, delivery.to);
         let receiver = &mut self.members[delivery.to];
-        if !receiver.is_alive || receiver.part != sender_part {
+        if !receiver.is_alive || !is_open {
             return;
         }
         if receiver.is_paused {
@@ -286,7 +289,7 @@
         let Some(to) = self.by_address.get(&address).copied() else {
             return;
         };
-        if self.members[from].part != self.members[to].part {
+        if !self.reaches(from, to) {
             return;
         }
         let is_local = from % CENTRES.len() == to % CENTRES.len();
@@ -301,6 +304,11 @@
             .insert((self.now + latency, self.sent), delivery);
     }
 
+    fn reaches(&self, from: usize, to: usize) -> bool {
+        let (from, to) = (self.members[from].part, self.members[to].part);
+        from == to || self.open_ways.contains(&(from, to))
+    }
+
     fn settle(&mut self, node: usize, ticket: u64, outcome: PermitOutcome) {
         let Some((workspace, started)) = self.waiting.remove(&(node, ticket)) else {
             return;
--- a/crates/sequoiagw-mesh/tests/support/mod.rs
+++ b/crates/sequoiagw-mesh/tests/support/mod.rs
@@ -66,6 +66,7 @@
         store_era: StoreEra::default(),
         backend_version: String::new(),
         departures_known: true,
+        stopping: false,
     }
 }
 
--- a/crates/sequoiagw-policy/src/quota_ledger.rs
+++ b/crates/sequoiagw-policy/src/quota_ledger.rs
@@ -117,7 +117,8 @@
         now: Instant,
     ) -> QuotaAnswer {
         self.remove_idle(now);
-        let capacity = (CAPACITY_SHARE * limit.burst.max(self.tolerance)).max(MIN_CAPACITY);
+        // The buckets of all parts of a divided fleet hold what one holds otherwise.
+        let capacity = (self.capacity(limit) * mandate.share).max(MIN_CAPACITY);
         if !self.buckets.contains_key(workspace) {
             let started = match mandate.standing {
                 CounterStanding::First { since } => since.max(self.valid_since).min(now),
@@ -137,6 +138,17 @@
             })
     }
 
+    fn capacity(&self, limit: QuotaLimit) -> f64 {
+        (CAPACITY_SHARE * limit.burst.max(self.tolerance)).max(MIN_CAPACITY)
+    }
+
+    /// Whether less than half of a workspace's tokens are left, so that grants depend on the part of the
+    /// rate that this counter has.
+    pub fn is_short(&self, workspace: &str, limit: QuotaLimit) -> bool {
+        let bucket = self.buckets.get(workspace);
+        bucket.is_some_and(|bucket| bucket.tokens < self.capacity(limit) / 2.0)
+    }
+
     /// Starts all buckets anew after the process was paused: another node has counted meanwhile.
     pub fn reset(&mut self, now: Instant) {
         self.buckets.clear();
@@ -153,11 +165,6 @@
         self.buckets.is_empty()
     }
 
-    /// Time of the last request for permits of any workspace, `None` without buckets.
-    pub fn last_request(&self) -> Option<Instant> {
-        self.buckets.values().map(|bucket| bucket.updated).max()
-    }
-
     fn remove_idle(&mut self, now: Instant) {
         if now < self.cleaned + CLEAN_INTERVAL {
             return;
