--- a/crates/sequoiagw-http/src/reply_output.rs
+++ b/crates/sequoiagw-http/src/reply_output.rs
@@ -10,11 +10,13 @@
 use crate::HttpReply;
 use crate::OpenReply;
 
-/// Encoded replies. A large body isn't copied behind its head.
+/// Encoded replies in their order. A large body isn't copied behind its head.
 #[derive(Debug, Default)]
 pub(crate) struct ReplyOutput {
-    heads: BytesMut,
-    large_body: Bytes,
+    /// Large bodies, and what comes before each.
+    parts: Vec<Bytes>,
+    /// What comes after them.
+    tail: BytesMut,
     /// Requests that stay open until their replies are written.
     open: Vec<Rc<OpenReply>>,
 }
@@ -22,13 +24,17 @@
 impl ReplyOutput {
     /// Adds `100 Continue`.
     pub(crate) fn push_continue(&mut self) {
-        self.heads
+        self.tail
             .extend_from_slice(b"HTTP/1.1 100 Continue\r\n\r\n");
     }
 
     /// Adds a reply. `with_body` is false for replies to HEAD requests.
     pub(crate) fn push(&mut self, reply: HttpReply, close: bool, with_body: bool) {
-        self.large_body = reply.write_to(&mut self.heads, close, with_body);
+        let large_body = reply.write_to(&mut self.tail, close, with_body);
+        if !large_body.is_empty() {
+            self.parts.push(self.tail.split().freeze());
+            self.parts.push(large_body);
+        }
         self.open.extend(reply.open);
     }
 
@@ -36,12 +42,11 @@
     ///
     /// Errors: the connection is broken.
     pub(crate) async fn write_to(&mut self, stream: &mut TcpStream) -> std::io::Result<()> {
-        if !self.heads.is_empty() {
-            stream.write_all(&self.heads).await?;
-            self.heads.clear();
+        for part in self.parts.drain(..) {
+            stream.write_all(&part).await?;
         }
-        let body = std::mem::take(&mut self.large_body);
-        stream.write_all(&body).await?;
+        stream.write_all(&self.tail).await?;
+        self.tail.clear();
         self.open.clear();
         Ok(())
     }
--- a/crates/sequoiagw-http/tests/connections.rs
+++ b/crates/sequoiagw-http/tests/connections.rs
@@ -270,3 +270,55 @@
         assert!(written < 64 * 1024 * 1024, "{head}{filler}: {written}");
     }
 }
+
+/// Largest body of a reply that is written with its head.
+const COPIED_BODY_BYTES: usize = 16 * 1024;
+
+/// Starts a server whose replies repeat the letter that the path names, more often than fits a reply that
+/// is written at once.
+async fn start_large_server() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    tokio::task::spawn_local(async move {
+        let (_phase, phase) = watch::channel(ServerPhase::Open);
+        while let Ok((stream, _)) = listener.accept().await {
+            let budget = BufferBudget::unlimited();
+            let handler = |request: HttpRequest| async move {
+                let letter = request.head.path.trim_start_matches('/');
+                HttpReply::text(200, &letter.repeat(2 * COPIED_BODY_BYTES))
+            };
+            let phase = phase.clone();
+            tokio::task::spawn_local(serve_connection(stream, || LIMITS, budget, phase, handler));
+        }
+    });
+    address
+}
+
+/// MIXED: the refusal of a request behind others replaced the body of a reply that was to be written, and
+/// callers took the bytes that followed for it.
+#[tokio::test]
+async fn refusal_behind_pipelined_requests_leaves_large_replies_whole() {
+    LocalSet::new()
+        .run_until(async {
+            let address = start_large_server().await;
+            let letters: Vec<char> = ('a'..='t').collect();
+            for accepted in [1, 2, 15, 16, 17, 20] {
+                let requests = letters.iter().take(accepted);
+                let requests = requests.map(|letter| format!("GET /{letter} HTTP/1.1\r\n\r\n"));
+                let text: String = requests.chain(["no request\r\n\r\n".to_owned()]).collect();
+                let received = send_and_read(address, &text, usize::MAX).await;
+                let replies: Vec<&str> = received.split("HTTP/1.1 ").skip(1).collect();
+                assert_eq!(replies.len(), accepted + 1, "{accepted} accepted");
+                for (letter, reply) in letters.iter().zip(&replies[..accepted]) {
+                    let body = reply.split("\r\n\r\n").nth(1).unwrap_or_default();
+                    assert_eq!(body.len(), 2 * COPIED_BODY_BYTES, "{accepted} accepted");
+                    assert!(
+                        body.chars().all(|other| other == *letter),
+                        "reply to /{letter}"
+                    );
+                }
+                assert!(replies[accepted].starts_with("400 "));
+            }
+        })
+        .await;
+}
