--- a/crates/sequoiagw-http/src/http_connection.rs
+++ b/crates/sequoiagw-http/src/http_connection.rs
@@ -69,6 +69,8 @@
     server_idle_timeout: Option<Duration>,
     /// Longest time until the first byte of a response arrives.
     response_timeout: Option<Duration>,
+    /// Longest time between two parts of a response.
+    progress_timeout: Option<Duration>,
     /// Room for the bodies of responses.
     budget: BufferBudget,
 }
@@ -95,6 +97,7 @@
             last_used: Instant::now(),
             server_idle_timeout: None,
             response_timeout: None,
+            progress_timeout: None,
             budget: BufferBudget::unlimited(),
         })
     }
@@ -118,6 +121,12 @@
         self.response_timeout = Some(timeout);
     }
 
+    /// Sets the longest time between two parts of a response. Without it, a response that has begun may
+    /// pause until the connection ends.
+    pub fn set_progress_timeout(&mut self, timeout: Duration) {
+        self.progress_timeout = Some(timeout);
+    }
+
     /// Sets what the bodies of responses may use of the process's memory. Without it, only their own
     /// limit counts.
     pub fn set_buffer_budget(&mut self, budget: BufferBudget) {
@@ -143,6 +152,7 @@
         let respond_by = self
             .response_timeout
             .map(|timeout| Instant::now() + timeout);
+        let mut progress_by = None;
         let mut written = false;
         let mut write = std::pin::pin!(write_request(&mut writer, request));
         for _ in 0..MAX_RESPONSES {
@@ -152,6 +162,8 @@
                     break response;
                 }
                 self.buffer.reserve(response_reader.expected_bytes());
+                let has_begun = response_reader.head.is_some() || !self.buffer.is_empty();
+                let wait_end = if has_begun { progress_by } else { respond_by };
                 tokio::select! {
                     biased;
                     result = write.as_mut(), if !written => match result {
@@ -164,11 +176,14 @@
                             None if self.buffer.is_empty() => return Err(response_reader.connection_error()),
                             None => return Err(ExchangeError::Truncated),
                         },
-                        Ok(_) => {}
+                        Ok(_) => {
+                            let timeout = self.progress_timeout;
+                            progress_by = timeout.map(|timeout| Instant::now() + timeout);
+                        }
                         Err(_) => return Err(response_reader.connection_error()),
                     },
-                    () = sleep_until(respond_by), if response_reader.head.is_none() && self.buffer.is_empty() => {
-                        return Err(ExchangeError::Broken);
+                    () = sleep_until(wait_end) => {
+                        return Err(response_reader.connection_error());
                     }
                 }
             };
