Soak: pipelined requests of unlike lengths before each planned stop

Before each planned stop a caller sends a request of 8 s and four quick ones on one connection. An answer that a backend server gave a second before the connection ended, or earlier, and that didn't arrive counts as lost, unless an unplanned fault may have affected it.

--- a/crates/sequoiagw-soak/src/caller_load.rs
+++ b/crates/sequoiagw-soak/src/caller_load.rs
@@ -47,7 +47,7 @@
 
     /// Whether a fault is active now, or the last one ended less than [`SETTLE_TIME`] before
     /// `started_at`, or after it.
-    fn may_affect(&self, started_at: Instant) -> bool {
+    pub(crate) fn may_affect(&self, started_at: Instant) -> bool {
         let last_ended = self.last_ended.get();
         self.active.get() > 0 || last_ended.is_some_and(|ended| started_at < ended + SETTLE_TIME)
     }
--- a/crates/sequoiagw-soak/src/fault_injection.rs
+++ b/crates/sequoiagw-soak/src/fault_injection.rs
@@ -16,6 +16,8 @@
 use crate::guarantee_checker::GuaranteeKind;
 use crate::loopback_proxy::ProxyMode;
 use crate::node_process::wait_for_exit;
+use crate::stopped_pipeline::check_pipeline;
+use crate::stopped_pipeline::PIPELINE_LEAD;
 
 /// Time within which a process must exit after SIGTERM: its grace period and a second.
 const EXIT_TIMEOUT: Duration = Duration::from_secs(7);
@@ -125,6 +127,10 @@
         node.process.borrow_mut().kill();
         sleep(fault.duration).await;
     } else {
+        let number = fault.at.as_millis() as u64;
+        let pipeline = check_pipeline(context.clone(), node_index, number);
+        let pipeline = tokio::task::spawn_local(pipeline);
+        sleep(PIPELINE_LEAD).await;
         node.process.borrow().signal("TERM");
         let has_exited = || node.process.borrow_mut().has_exited();
         if !wait_for_exit(EXIT_TIMEOUT, has_exited).await {
@@ -136,6 +142,9 @@
                 "did not exit in time",
             );
         }
+        if let Err(error) = pipeline.await {
+            eprintln!("pipeline_failed node={node_index} error={error}");
+        }
         sleep(RESTART_DELAY).await;
     }
     restart_process(context, node_index);
--- a/crates/sequoiagw-soak/src/lib.rs
+++ b/crates/sequoiagw-soak/src/lib.rs
@@ -10,6 +10,7 @@
 mod node_process;
 mod soak_fleet;
 mod soak_run;
+mod stopped_pipeline;
 
 pub use fault_plan::FaultKind;
 pub use fault_plan::FaultPlan;
--- a/crates/sequoiagw-soak/src/soak_fleet.rs
+++ b/crates/sequoiagw-soak/src/soak_fleet.rs
@@ -23,6 +23,8 @@
 use crate::loopback_proxy::LoopbackProxy;
 use crate::node_process::NodeProcess;
 use crate::soak_run::SoakOptions;
+use crate::stopped_pipeline::LONG_PATH;
+use crate::stopped_pipeline::LONG_RUN;
 
 /// Services, assigned to the nodes in turn.
 const SERVICES: [&str; 2] = ["press", "desk"];
@@ -31,6 +33,9 @@
 /// Time that a backend server takes for a request.
 const SERVICE_TIME: Duration = Duration::from_millis(20);
 
+/// Timeout of the route `report`, longer than the grace period of a planned stop.
+const REPORT_TIMEOUT: Duration = Duration::from_secs(10);
+
 /// A node, its backend server and the proxies in front of its links.
 pub(crate) struct SoakNode {
     pub(crate) process: RefCell<NodeProcess>,
@@ -106,6 +111,12 @@
                 timeout: ROUTE_TIMEOUT,
             },
         ];
+        routes.push(RouteConfig {
+            name: "report".to_owned(),
+            service: SERVICES[0].to_owned(),
+            idempotent: true,
+            timeout: REPORT_TIMEOUT,
+        });
         routes.extend((1..=version).map(|number| RouteConfig {
             name: format!("v{number}"),
             service: SERVICES[1].to_owned(),
@@ -126,6 +137,7 @@
     let name = format!("node-{index}");
     let service = SERVICES[index % SERVICES.len()];
     let backend = PlatformBackend::start(&name, service, SERVICE_TIME).await;
+    backend.set_run_time(LONG_PATH, LONG_RUN);
     let peer_listen = addresses.next_address();
     let peer_proxy = LoopbackProxy::open(peer_listen).await?;
     let store_proxy = LoopbackProxy::open(store.address()).await?;
