--- a/crates/sequoiagw-http/src/message_head.rs
+++ b/crates/sequoiagw-http/src/message_head.rs
@@ -9,8 +9,11 @@
 
 /// Size of a head that fits most messages, in bytes; connections start with buffers of it.
 pub(crate) const USUAL_HEAD_BYTES: usize = 1024;
-/// Largest number of headers of a message.
+/// Largest number of headers of a response or of trailers, and of a request that is read without allocating
+/// room for more.
 pub(crate) const MAX_HEADERS: usize = 96;
+/// Size of the shortest header with the end of its line, in bytes: a name, a colon and a line feed.
+const MIN_HEADER_BYTES: usize = 3;
 /// Largest number of interim responses before a response.
 const MAX_INTERIM_RESPONSES: usize = 32;
 /// Minor version of HTTP/1.0, which has no chunks and closes each connection unless told otherwise.
@@ -44,7 +47,7 @@
     /// The status of a response is neither that of an interim response nor that of a final one.
     #[error(transparent)]
     InvalidStatus(#[from] StatusError),
-    /// The head is over its limit in bytes or has too many headers.
+    /// The head is over its limit in bytes, or that of a response has too many headers.
     #[error("the head is larger than the limit")]
     HeadTooLarge,
     /// The body is over its limit in bytes.
@@ -140,16 +143,38 @@
         .any(|header| header.eq_ignore_ascii_case(name))
 }
 
-/// Removes a request head from the buffer; `None` until it is complete.
+/// Removes a request head from the buffer; `None` until it is complete. It may have any number of headers.
 ///
-/// Errors: the bytes aren't a valid request head, or it is over `max_bytes` or the limit on the
-/// number of headers.
+/// Errors: the bytes aren't a valid request head, or it is over `max_bytes`.
 pub fn parse_request(
     buffer: &mut BytesMut,
     max_bytes: usize,
 ) -> Result<Option<RequestHead>, HttpParseError> {
     let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut parsed = httparse::Request::new(&mut fields);
+    let parsed = match read_request_head(buffer, &mut fields, max_bytes) {
+        Err(HttpParseError::HeadTooLarge) => {
+            let most = buffer.len().min(max_bytes) / MIN_HEADER_BYTES;
+            let mut fields = vec![httparse::EMPTY_HEADER; most];
+            read_request_head(buffer, &mut fields, max_bytes)?
+        }
+        parsed => parsed?,
+    };
+    Ok(parsed.map(|(head, length)| {
+        buffer.advance(length);
+        head
+    }))
+}
+
+/// Reads a request head with room for its headers in `fields`; returns it with its length in bytes, `None`
+/// until it is complete.
+///
+/// Errors: as for [`parse_request`], and [`HttpParseError::HeadTooLarge`] if there is no room for its headers.
+fn read_request_head<'buffer>(
+    buffer: &'buffer [u8],
+    fields: &mut [httparse::Header<'buffer>],
+    max_bytes: usize,
+) -> Result<Option<(RequestHead, usize)>, HttpParseError> {
+    let mut parsed = httparse::Request::new(fields);
     let length = match parsed.parse(buffer) {
         Ok(httparse::Status::Complete(length)) if length <= max_bytes => length,
         Ok(httparse::Status::Partial) if buffer.len() <= max_bytes => return Ok(None),
@@ -166,8 +191,7 @@
             .is_some_and(|value| value.eq_ignore_ascii_case("100-continue")),
         headers,
     };
-    buffer.advance(length);
-    Ok(Some(head))
+    Ok(Some((head, length)))
 }
 
 /// Removes the head of a response to a request with `method` from the buffer; `None` until it is
--- a/crates/sequoiagw-http/tests/message_parts.rs
+++ b/crates/sequoiagw-http/tests/message_parts.rs
@@ -41,6 +41,27 @@
     }
 }
 
+/// DENIED: a request within the limit in bytes was refused for the number of its headers.
+#[test]
+fn parses_request_with_as_many_headers_as_its_limit_in_bytes_allows() {
+    let start = "GET / HTTP/1.1\r\n";
+    for count in [0, 1, 95, 96, 97, 500, (LIMIT - start.len() - 2) / 4] {
+        let text = format!("{start}{}\r\n", "a:\r\n".repeat(count));
+        let head = parse_text(&text)
+            .expect("a valid head")
+            .expect("a complete head");
+        assert_eq!(head.headers.len(), count);
+        let without_returns = parse_text(&text.replace('\r', ""));
+        let head = without_returns.expect("a valid head");
+        assert_eq!(head.map(|head| head.headers.len()), Some(count));
+        for cut in [0, start.len(), text.len() / 2, text.len() - 1] {
+            assert_eq!(parse_text(&text[..cut]), Ok(None), "{count} headers");
+        }
+    }
+    let over = format!("{start}{}\r\n", "a:\r\n".repeat(LIMIT / 4));
+    assert_eq!(parse_text(&over), Err(HttpParseError::HeadTooLarge));
+}
+
 #[test]
 fn rejects_oversized_head_before_it_is_complete() {
     let text = format!("GET / HTTP/1.1\r\nX: {}", "x".repeat(LIMIT));
