Counters probe the fleet only while a bucket is short for its share

In a cut all counters probed, since their buckets can't be half as full as in a whole fleet: a bucket's capacity goes with its share, but shortage was measured against the whole.

Shortage is measured against the capacity that the bucket has. The nodes of the fleet are read anew for each round, since a node that departed a minute ago is forgotten without a change of the directory.

--- a/crates/sequoiagw-mesh/src/core_quotas.rs
+++ b/crates/sequoiagw-mesh/src/core_quotas.rs
@@ -77,7 +77,7 @@
                 };
                 let (name, wanted) = (&request.workspace, request.wanted);
                 let answer = quotas.ledger.grant(name, limit, wanted, mandate, now);
-                if quotas.ledger.is_short(name, limit) {
+                if quotas.ledger.is_short(name) {
                     quotas.on_shortage(now);
                 }
                 let record = GrantRecord {
@@ -292,6 +292,10 @@
         let Some(quotas) = &mut self.quotas else {
             return;
         };
+        if quotas.next_probes(now).is_some_and(|due| now >= due) {
+            // Departures are forgotten without a change of the directory.
+            quotas.reach.set_nodes(self.directory.quota_nodes());
+        }
         for probe in quotas.start_probes(&mut self.rng, now) {
             let message = ProbeMessage {
                 sequence: probe.sequence,
--- a/crates/sequoiagw-mesh/src/reach_monitor.rs
+++ b/crates/sequoiagw-mesh/src/reach_monitor.rs
@@ -181,7 +181,7 @@
             } else if probes.is_unanswered(ANSWER_GRACE, now) {
                 unreached += 1;
                 failed += 1;
-            } else if probes.answered >= evidence_start && probes.answered.is_some() {
+            } else if probes.is_answered_since(evidence_start) {
                 reached += 1;
             }
         }
@@ -321,4 +321,9 @@
     fn is_unanswered(&self, limit: Duration, now: Instant) -> bool {
         self.is_pending && now >= self.sent + limit
     }
+
+    /// Whether a probe was answered that had been sent at `start` or later.
+    fn is_answered_since(&self, start: Option<Instant>) -> bool {
+        self.answered.is_some_and(|sent| Some(sent) >= start)
+    }
 }
--- a/crates/sequoiagw-policy/src/quota_ledger.rs
+++ b/crates/sequoiagw-policy/src/quota_ledger.rs
@@ -78,6 +78,8 @@
 #[derive(Clone, Copy, Debug)]
 struct QuotaBucket {
     tokens: f64,
+    /// Most tokens that it may hold, as of the latest refill.
+    capacity: f64,
     /// Permits that were requested and not granted, and for which the callers return later.
     backlog: f64,
     started: Instant,
@@ -142,11 +144,11 @@
         (CAPACITY_SHARE * limit.burst.max(self.tolerance)).max(MIN_CAPACITY)
     }
 
-    /// Whether less than half of a workspace's tokens are left, so that grants depend on the part of the
-    /// rate that this counter has.
-    pub fn is_short(&self, workspace: &str, limit: QuotaLimit) -> bool {
+    /// Whether a workspace's bucket was less than half full after the latest grant, so that grants depend on
+    /// the part of the rate that this counter has.
+    pub fn is_short(&self, workspace: &str) -> bool {
         let bucket = self.buckets.get(workspace);
-        bucket.is_some_and(|bucket| bucket.tokens < self.capacity(limit) / 2.0)
+        bucket.is_some_and(|bucket| bucket.tokens < bucket.capacity / 2.0)
     }
 
     /// Starts all buckets anew after the process was paused: another node has counted meanwhile.
@@ -186,6 +188,7 @@
     fn new(started: Instant) -> Self {
         Self {
             tokens: 0.0,
+            capacity: 0.0,
             backlog: 0.0,
             started,
             updated: started,
@@ -211,6 +214,7 @@
             START_SHARE * in_start.as_secs_f64() + later_share * after_start.as_secs_f64();
         let refilled = limit.rate_per_s * mandate.share * full_rate_time;
         self.tokens = (self.tokens + refilled).min(capacity);
+        self.capacity = capacity;
         self.backlog = (self.backlog - refilled).max(0.0);
         self.updated = now.max(self.updated);
     }
