A counter that stopped as planned is replaced at the whole rate

Callers within their quota were refused after the node that counted it had stopped: its substitute granted a tenth of the rate until the registration ended, 13 s later.

Change: without probes the last message counts, for 1.5 s, as it did before.

--- a/crates/sequoiagw-mesh/src/core_quotas.rs
+++ b/crates/sequoiagw-mesh/src/core_quotas.rs
@@ -28,6 +28,8 @@
 use crate::MeshAction;
 use crate::MeshCore;
 
+/// Time after the last message from a node that isn't probed for which it counts as running.
+const CONTACT_TIMEOUT: Duration = Duration::from_millis(1500);
 /// Nodes of a data centre that are probed at once when nothing was heard from it.
 const PROBES_PER_CENTRE: usize = 2;
 
@@ -194,8 +196,13 @@
             quotas.on_replacement(first, now);
         }
         let reach = quotas.fleet_reach(now);
-        let substitute = other.map(|node| CounterStanding::Substitute {
-            first_is_running: quotas.reach.is_running(node, now),
+        let contact = other.and_then(|first| self.calls.entry.last_contact(first));
+        let had_contact = contact.is_some_and(|contact| now < contact + CONTACT_TIMEOUT);
+        let substitute = other.map(|first| {
+            let is_running = quotas.reach.is_running(first, now);
+            CounterStanding::Substitute {
+                first_is_running: is_running.unwrap_or(had_contact),
+            }
         });
         let mandate = CounterMandate {
             share: reach.share(),
--- a/crates/sequoiagw-mesh/src/reach_monitor.rs
+++ b/crates/sequoiagw-mesh/src/reach_monitor.rs
@@ -205,10 +205,11 @@
         now.checked_sub(ANSWER_VALIDITY).max(swept)
     }
 
-    /// Whether a node is running as far as this one knows.
-    pub fn is_running(&self, node: NodeId, now: Instant) -> bool {
-        let probes = self.probes.get(&node);
-        probes.is_none_or(|probes| !probes.is_pending || now < probes.last_sign + RUNNING_TIMEOUT)
+    /// Whether a node is running, by its answers; `None` if it was never probed, such as one that stops as
+    /// planned.
+    pub fn is_running(&self, node: NodeId, now: Instant) -> Option<bool> {
+        let probes = self.probes.get(&node)?;
+        Some(!probes.is_pending || now < probes.last_sign + RUNNING_TIMEOUT)
     }
 
     /// Time of the next round of probes.
--- a/crates/sequoiagw-mesh/tests/quota_fleet/fleet_changes.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/fleet_changes.rs
@@ -91,6 +91,22 @@
         }
     }
 
+    /// Lets some nodes learn that a node stops as planned.
+    pub fn report_stopping(&mut self, node: usize, at: &[usize]) {
+        self.revision += 1;
+        let record = NodeRegistration {
+            stopping: true,
+            ..registration(node)
+        };
+        let revision = record.written_at(self.revision);
+        let change = RegistrationChange::Written(record, revision);
+        for index in at {
+            let core = &mut self.members[*index].core;
+            core.on_registration_changes(std::slice::from_ref(&change), self.now);
+            self.after_event(*index);
+        }
+    }
+
     /// Stops a process; what it receives is read when it wakes.
     pub fn pause(&mut self, node: usize) {
         self.members[node].is_paused = true;
--- a/crates/sequoiagw-mesh/tests/quota_fleet/fleet_faults.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/fleet_faults.rs
@@ -67,6 +67,22 @@
     checked_log(&fleet);
 }
 
+/// A substitute took a counter that had stopped as planned for running, and granted a tenth in its place.
+#[test]
+fn a_counter_that_stops_as_planned_is_replaced_at_the_whole_rate() {
+    let mut fleet = busy_fleet(10);
+    let counter = fleet.counter_of("large");
+    let others: Vec<usize> = (0..FLEET_SIZE).filter(|node| *node != counter).collect();
+    fleet.report_stopping(counter, &others);
+    run(&mut fleet, 500.0, seconds(1));
+    fleet.kill(counter);
+    run(&mut fleet, 500.0, seconds(4));
+    fleet.logs.clear();
+    run(&mut fleet, 500.0, seconds(6));
+    let log = checked_log(&fleet);
+    assert!(log.refused_share() < 0.001, "{} refused", log.refused.len());
+}
+
 #[test]
 fn a_counter_that_is_paused_and_wakes_starts_anew() {
     for pause_ms in [300, 1500, 1900, 2500, 5000] {
--- a/crates/sequoiagw-mesh/tests/reach_monitor.rs
+++ b/crates/sequoiagw-mesh/tests/reach_monitor.rs
@@ -148,9 +148,9 @@
     fleet.delay = Duration::from_millis(400);
     fleet.run(seconds(5));
     let slow = NodeId::from(2);
-    assert!(fleet.monitor.is_running(slow, fleet.now));
+    assert_eq!(fleet.monitor.is_running(slow, fleet.now), Some(true));
     assert!(fleet.share() < 0.6, "{}", fleet.share());
     fleet.answering.remove(&slow);
     fleet.run(seconds(3));
-    assert!(!fleet.monitor.is_running(slow, fleet.now));
+    assert_eq!(fleet.monitor.is_running(slow, fleet.now), Some(false));
 }
