A node that stops tells the other counters itself

Cause: that a node stops was written to the store only. Change: it is also sent to all nodes when the stop begins, where quotas are on.

--- a/crates/sequoiagw-mesh/src/mesh_core.rs
+++ b/crates/sequoiagw-mesh/src/mesh_core.rs
@@ -350,6 +350,10 @@
         self.draining = true;
         self.calls.owner.drain(now);
         self.actions.push(MeshAction::RegistrationChanged);
+        if self.has_quotas() {
+            // Counters leave a node out that stops, also while it can't write to the store.
+            self.announce_registration(now);
+        }
         self.process_actions(now);
     }
 
--- a/crates/sequoiagw-mesh/tests/quota_fleet/fleet_changes.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/fleet_changes.rs
@@ -107,6 +107,13 @@
         }
     }
 
+    /// Lets a node begin to stop as planned, which it tells the others.
+    pub fn begin_stop(&mut self, node: usize) {
+        let now = self.now;
+        self.members[node].core.drain(now);
+        self.after_event(node);
+    }
+
     /// Stops a process; what it receives is read when it wakes.
     pub fn pause(&mut self, node: usize) {
         self.members[node].is_paused = true;
--- a/crates/sequoiagw-mesh/tests/quota_fleet/fleet_faults.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/fleet_faults.rs
@@ -83,6 +83,33 @@
     assert!(log.refused_share() < 0.001, "{} refused", log.refused.len());
 }
 
+/// Nodes that stopped while the store was down counted as cut off, so that the others refused callers within
+/// their quota for a minute.
+#[test]
+fn nodes_that_stop_while_the_store_is_down_take_no_part_of_the_rate_with_them() {
+    let mut fleet = busy_fleet(11);
+    fleet.set_store_failing();
+    let counter = fleet.counter_of("large");
+    let stopped: Vec<usize> = (0..FLEET_SIZE).filter(|node| node % 2 == 1).collect();
+    let stopped: Vec<usize> = stopped
+        .into_iter()
+        .filter(|node| *node != counter)
+        .collect();
+    for node in &stopped {
+        fleet.begin_stop(*node);
+    }
+    run(&mut fleet, 500.0, seconds(1));
+    for node in &stopped {
+        fleet.kill(*node);
+    }
+    run(&mut fleet, 3500.0, seconds(2));
+    fleet.logs.clear();
+    run(&mut fleet, 3500.0, seconds(5));
+    let used = fleet.log("large").allowed.len();
+    assert!(used > 3800, "{used} of 4,000 permits were used");
+    fleet.assert_within_bound("large", limit(RATE_PER_S));
+}
+
 #[test]
 fn a_counter_that_is_paused_and_wakes_starts_anew() {
     for pause_ms in [300, 1500, 1900, 2500, 5000] {
