Pipelines of tests and soak are encoded by the stand-in caller

The soak and a process test wrote the platform's header names themselves, twice the same; the names belong to platform/. encode_pipeline does it for both.

--- a/crates/sequoiagw-soak/src/stopped_pipeline.rs
+++ b/crates/sequoiagw-soak/src/stopped_pipeline.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use sequoiagw_platform_standins::encode_pipeline;
 use sequoiagw_platform_standins::BackendRun;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
@@ -19,6 +20,8 @@
 /// Path of the requests behind it.
 const SHORT_PATH: &str = "/report/short";
 const SHORT_REQUESTS: usize = 4;
+/// Time that the caller waits for each answer.
+const REQUEST_DEADLINE: Duration = Duration::from_secs(10);
 /// Time from the requests to the signal.
 pub(crate) const PIPELINE_LEAD: Duration = Duration::from_millis(200);
 /// Time within which the connection must end.
@@ -38,7 +41,12 @@
     let Ok(mut stream) = TcpStream::connect(address).await else {
         return;
     };
-    let requests: String = ids.iter().enumerate().map(encode_request).collect();
+    let path = |index| if index == 0 { LONG_PATH } else { SHORT_PATH };
+    let requests = ids.iter().enumerate();
+    let requests: Vec<_> = requests
+        .map(|(index, id)| (path(index), id.as_str()))
+        .collect();
+    let requests = encode_pipeline(&requests, REQUEST_DEADLINE);
     if stream.write_all(requests.as_bytes()).await.is_err() {
         return;
     }
@@ -64,11 +72,3 @@
         }
     }
 }
-
-fn encode_request((index, id): (usize, &String)) -> String {
-    let path = if index == 0 { LONG_PATH } else { SHORT_PATH };
-    format!(
-        "GET {path} HTTP/1.1\r\nHost: shop.example\r\nX-Sequoiagw-Attempt-Id: {id}\r\n\
-         X-Sequoiagw-Deadline-Ms: 10000\r\n\r\n"
-    )
-}
--- a/tests/platform_processes/stopped_pipelines.rs
+++ b/tests/platform_processes/stopped_pipelines.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use sequoiagw_platform_standins::encode_pipeline;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
@@ -28,6 +29,8 @@
 /// The same, ended just before the last sixth of the grace period.
 const LONG_RUN: Duration = Duration::from_millis(4800);
 const SHORT_REQUESTS: usize = 4;
+/// Time that the caller waits for each answer.
+const REQUEST_DEADLINE: Duration = Duration::from_secs(10);
 
 /// Statuses of the replies on a connection, with the times of their arrival after the signal.
 struct PipelineReplies {
@@ -39,9 +42,13 @@
 /// Sends a long request and short ones behind it, then reads until the connection ends.
 async fn send_pipeline(node: SocketAddr, first: &str, signal: Instant) -> PipelineReplies {
     let mut stream = TcpStream::connect(node).await.expect("a connection");
-    let short = (0..SHORT_REQUESTS).map(|number| format!("/report/short#{first}-{number}"));
-    let paths = std::iter::once(format!("/report/{first}")).chain(short);
-    let requests: String = paths.map(|path| encode_request(&path)).collect();
+    let long_path = format!("/report/{first}");
+    let ids: Vec<String> = (0..SHORT_REQUESTS)
+        .map(|number| format!("{first}-{number}"))
+        .collect();
+    let short = ids.iter().map(|id| ("/report/short", id.as_str()));
+    let requests: Vec<_> = std::iter::once((&*long_path, first)).chain(short).collect();
+    let requests = encode_pipeline(&requests, REQUEST_DEADLINE);
     stream
         .write_all(requests.as_bytes())
         .await
@@ -64,15 +71,6 @@
     replies
 }
 
-/// Encodes a request whose id is its path and fragment.
-fn encode_request(path: &str) -> String {
-    let target = path.split('#').next().unwrap_or_default();
-    format!(
-        "GET {target} HTTP/1.1\r\nHost: shop.example\r\nX-Sequoiagw-Attempt-Id: {path}\r\n\
-         X-Sequoiagw-Deadline-Ms: 10000\r\n\r\n"
-    )
-}
-
 /// Sends a pipeline of each kind to node 0, and SIGTERM to the first `stopped` nodes.
 async fn stop_under_pipelines(run: u32, stopped: usize) -> [PipelineReplies; 2] {
     let fleet = ProcessFleet::start(run, SHORT_RUN).await;
