--- a/crates/sequoiagw-http/src/http_server.rs
+++ b/crates/sequoiagw-http/src/http_server.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 use tracing::warn;
 
+use crate::caller_probe::CallerProbe;
 use crate::close_gracefully;
 use crate::message_head::USUAL_HEAD_BYTES;
 use crate::parse_request;
@@ -65,6 +66,10 @@
     budget: BufferBudget,
     /// Whether further requests are accepted.
     accepts_requests: bool,
+    /// Whether the caller takes interim responses.
+    takes_interim: bool,
+    /// Set once the caller's input has ended, which its requests outlast.
+    probe: Option<CallerProbe>,
     /// Time from which the idle or request timeout counts: the first byte of the request that is
     /// being read, or the last request or reply.
     timeout_start: Instant,
@@ -72,7 +77,7 @@
 
 /// Serves a connection until either side closes it. Bodies use a part of `budget`; a request without
 /// room for its body is refused before the body is read. If the caller closes it, the futures of its
-/// running requests are dropped.
+/// running requests are dropped; a caller that ends only its sending side gets their replies.
 pub async fn serve_connection<Limits, Handler, Running>(
     mut stream: TcpStream,
     limits: Limits,
@@ -88,14 +93,7 @@
         return;
     }
     let mut running = FuturesOrdered::new();
-    let mut state = ConnectionState {
-        buffer: BytesMut::with_capacity(USUAL_HEAD_BYTES),
-        partial: None,
-        sends_body: std::collections::VecDeque::new(),
-        accepts_requests: true,
-        budget,
-        timeout_start: Instant::now(),
-    };
+    let mut state = ConnectionState::new(budget);
     let mut output = ReplyOutput::default();
     loop {
         let current_limits = limits();
@@ -110,10 +108,14 @@
                 Ok(Some(request)) => {
                     state.sends_body.push_back(request.head.method != "HEAD");
                     state.accepts_requests = request.head.keep_alive;
+                    state.takes_interim = request.head.takes_interim;
                     state.timeout_start = Instant::now();
                     running.push_back(handler(request));
                 }
-                Ok(None) => break,
+                Ok(None) => {
+                    state.accepts_requests = state.probe.is_none();
+                    break;
+                }
                 Err(error) => {
                     state.accepts_requests = false;
                     parse_error = Some(error);
@@ -150,7 +152,8 @@
         } else {
             current_limits.request_timeout
         };
-        let can_read = running.is_empty() || state.buffer.len() < MAX_READ_AHEAD_BYTES;
+        let has_room = running.is_empty() || state.buffer.len() < MAX_READ_AHEAD_BYTES;
+        let can_read = state.probe.is_none() && has_room;
         let expected_bytes = state
             .partial
             .as_ref()
@@ -166,6 +169,9 @@
                 state.timeout_start = Instant::now();
             }
             read = stream.read_buf(&mut state.buffer), if can_read => match read {
+                Ok(0) if !running.is_empty() && state.takes_interim => {
+                    state.probe = Some(CallerProbe::start());
+                }
                 Ok(0) | Err(_) => return,
                 Ok(_) => if idle {
                     state.timeout_start = Instant::now();
@@ -180,6 +186,7 @@
                 close_gracefully(&mut stream).await;
                 return;
             }
+            Some(()) = next_probe(state.probe.as_mut()) => output.push_continue(),
             changed = phase.changed() => if changed.is_err() {
                 return;
             },
@@ -188,6 +195,19 @@
 }
 
 impl ConnectionState {
+    fn new(budget: BufferBudget) -> Self {
+        Self {
+            buffer: BytesMut::with_capacity(USUAL_HEAD_BYTES),
+            partial: None,
+            sends_body: std::collections::VecDeque::new(),
+            budget,
+            accepts_requests: true,
+            takes_interim: false,
+            probe: None,
+            timeout_start: Instant::now(),
+        }
+    }
+
     /// Removes the next complete request from the buffer. Writes `100 Continue` to the output if
     /// the caller expects it and no earlier reply is outstanding.
     fn next_request(
@@ -237,6 +257,12 @@
     }
 }
 
+/// Waits until the next probe of the caller is due, `None` if it isn't probed.
+async fn next_probe(probe: Option<&mut CallerProbe>) -> Option<()> {
+    probe?.due().await;
+    Some(())
+}
+
 /// Reply to a request that can't be parsed, or for whose body there is no room.
 fn parse_error_reply(error: HttpParseError) -> HttpReply {
     let status = match error {
--- a/crates/sequoiagw-http/src/lib.rs
+++ b/crates/sequoiagw-http/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod body_decoder;
 mod buffer_budget;
+mod caller_probe;
 mod connection_close;
 mod http_connection;
 mod http_message;
--- a/crates/sequoiagw-http/src/message_head.rs
+++ b/crates/sequoiagw-http/src/message_head.rs
@@ -97,6 +97,8 @@
     pub keep_alive: bool,
     /// Whether the client waits for `100 Continue` before it sends the body.
     pub wants_continue: bool,
+    /// Whether the client takes interim responses, which came with HTTP/1.1.
+    pub takes_interim: bool,
 }
 
 impl RequestHead {
@@ -189,6 +191,7 @@
         keep_alive: keeps_alive(parsed.version, &headers),
         wants_continue: find_header(&headers, "expect")
             .is_some_and(|value| value.eq_ignore_ascii_case("100-continue")),
+        takes_interim: parsed.version != Some(HTTP_1_0_MINOR_VERSION),
         headers,
     };
     Ok(Some((head, length)))
