Callers that leave behind a refused request are noticed (GONE)

A caller sent requests and one behind them that the node refuses to parse, and left. Its requests ran on, each with a slot at a backend server, with nobody to take their replies.

Cause: the refusal waited for the replies before it in a loop of its own, which looked neither at the connection nor at the phase of the server.

Change: a refusal is one more reply in the queue of running requests. One path writes replies and one loop waits. Behind a refusal input is read only to notice its end.

Evidence: requests_before_a_refused_one_are_cancelled_when_their_caller_leaves failed before at its first refusal (no cancellation within the test's 20 s) and passes with 400, 413 and a bad chunk.

--- a/crates/sequoiagw-http/src/http_server.rs
+++ b/crates/sequoiagw-http/src/http_server.rs
@@ -1,10 +1,12 @@
 //! Server side of a connection: pipelined requests run concurrently, and their replies are sent
 //! in order.
 
+use std::future::ready;
 use std::future::Future;
 use std::time::Duration;
 
 use bytes::BytesMut;
+use futures_util::future::Either;
 use futures_util::stream::FuturesOrdered;
 use futures_util::StreamExt;
 use tokio::io::AsyncReadExt;
@@ -97,7 +99,6 @@
     let mut output = ReplyOutput::default();
     loop {
         let current_limits = limits();
-        let mut parse_error = None;
         let leaving = *phase.borrow() != ServerPhase::Open;
         // While the server leaves, no request is accepted behind a running one: the reply to the
         // running one closes the connection, and the caller may treat later requests as unread.
@@ -110,31 +111,20 @@
                     state.accepts_requests = request.head.keep_alive;
                     state.takes_interim = request.head.takes_interim;
                     state.timeout_start = Instant::now();
-                    running.push_back(handler(request));
+                    running.push_back(Either::Left(handler(request)));
                 }
                 Ok(None) => {
                     state.accepts_requests = state.probe.is_none();
                     break;
                 }
-                Err(error) => {
-                    state.accepts_requests = false;
-                    parse_error = Some(error);
-                }
+                // Like any other reply, the refusal is sent behind those to earlier requests. It closes the
+                // connection.
+                Err(error) => running.push_back(Either::Right(ready(state.refuse(error)))),
             }
         }
-        if let Some(error) = parse_error {
-            // The replies to earlier requests are sent before the error reply, which closes the
-            // connection.
-            while let Some(reply) = running.next().await {
-                state.add_reply(reply, false, &mut output);
-                if output.write_to(&mut stream).await.is_err() {
-                    return;
-                }
-            }
-            if error == HttpParseError::NoRoom {
-                state.log_refused_body();
-            }
-            output.push(parse_error_reply(error), true, true);
+        if !state.accepts_requests {
+            // Further input is read only to notice its end.
+            state.buffer.clear();
         }
         if output.write_to(&mut stream).await.is_err() {
             return;
@@ -237,6 +227,17 @@
         }))
     }
 
+    /// Refuses the request that is being read. No further request is accepted.
+    fn refuse(&mut self, error: HttpParseError) -> HttpReply {
+        if error == HttpParseError::NoRoom {
+            self.log_refused_body();
+        }
+        self.partial = None;
+        self.sends_body.push_back(true);
+        self.accepts_requests = false;
+        parse_error_reply(error)
+    }
+
     /// Logs that there was no room for the body of the request that is being read.
     fn log_refused_body(&self) {
         let head = self.partial.as_ref().map(|partial| &partial.head);
--- a/crates/sequoiagw-http/tests/ended_input.rs
+++ b/crates/sequoiagw-http/tests/ended_input.rs
@@ -29,6 +29,8 @@
 const ENDLESS_MS: u64 = 600_000;
 /// Time after which a test gives up.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time in which the server reads what it was sent.
+const SETTLING_TIME: Duration = Duration::from_millis(50);
 /// Refusals in the parser, by the request that gets them.
 const REFUSED_REQUESTS: [&str; 3] = [
     "no request\r\n\r\n",
@@ -209,3 +211,24 @@
     };
     LocalSet::new().run_until(scenario).await;
 }
+
+/// GONE: while a refusal waited for the replies before it, nobody noticed that its caller had left.
+#[tokio::test]
+async fn requests_before_a_refused_one_are_cancelled_when_their_caller_leaves() {
+    let scenario = async {
+        let mut server = DelayingServer::start().await;
+        for refused in REFUSED_REQUESTS {
+            let mut stream = server.connect().await;
+            let requests = encode_requests(&[ENDLESS_MS]) + refused;
+            stream
+                .write_all(requests.as_bytes())
+                .await
+                .expect("a write");
+            assert!(next_of(&mut server.starts).await.is_some());
+            sleep(SETTLING_TIME).await;
+            drop(stream);
+            assert!(next_of(&mut server.ends).await.is_some(), "{refused}");
+        }
+    };
+    LocalSet::new().run_until(scenario).await;
+}
