Callers behind running requests are told to continue

A caller that sent an upload with `Expect: 100-continue` behind a running request waited for `100 Continue` until it got 408 after headerTimeoutMs. One whose stated length is over the limit was told to continue and then refused.

Cause: the decision was taken once, when the head was parsed: never if a reply was outstanding, otherwise before the length was checked.

Change: it is sent once no earlier reply is outstanding, while the body is neither refused nor complete, and not to HTTP/1.0 callers.

Evidence: caller_is_told_to_continue_once_earlier_requests_are_answered (nothing within 10 s behind the first reply) and caller_is_not_told_to_continue_with_a_body_over_its_limit (100 before 413) failed before and pass.

--- a/crates/sequoiagw-http/src/http_server.rs
+++ b/crates/sequoiagw-http/src/http_server.rs
@@ -56,6 +56,8 @@
 struct PartialRequest {
     head: RequestHead,
     decoder: BodyDecoder,
+    /// Whether the caller still waits for `100 Continue`.
+    awaits_continue: bool,
 }
 
 /// State of a connection besides its socket.
@@ -198,8 +200,8 @@
         }
     }
 
-    /// Removes the next complete request from the buffer. Writes `100 Continue` to the output if
-    /// the caller expects it and no earlier reply is outstanding.
+    /// Removes the next complete request from the buffer. Writes `100 Continue` to the output once
+    /// no earlier reply is outstanding, if the caller expects it and the body isn't refused or complete.
     fn next_request(
         &mut self,
         limits: &ServerLimits,
@@ -209,16 +211,21 @@
             let Some(head) = parse_request(&mut self.buffer, limits.max_header_bytes)? else {
                 return Ok(None);
             };
-            if head.wants_continue && self.sends_body.is_empty() {
-                output.push_continue();
-            }
             let decoder = BodyDecoder::new(head.body, limits.max_body_bytes, &self.budget);
-            self.partial = Some(PartialRequest { head, decoder });
+            self.partial = Some(PartialRequest {
+                awaits_continue: head.wants_continue && head.takes_interim,
+                head,
+                decoder,
+            });
         }
         let Some(partial) = &mut self.partial else {
             return Ok(None);
         };
         if !partial.decoder.decode(&mut self.buffer)? {
+            if partial.awaits_continue && self.sends_body.is_empty() {
+                partial.awaits_continue = false;
+                output.push_continue();
+            }
             return Ok(None);
         }
         Ok(self.partial.take().map(|partial| HttpRequest {
--- a/crates/sequoiagw-http/tests/connections.rs
+++ b/crates/sequoiagw-http/tests/connections.rs
@@ -322,3 +322,43 @@
         })
         .await;
 }
+
+/// A caller that waits for `100 Continue` behind a request that was still running never got it, and was
+/// refused with 408 in the end.
+#[tokio::test]
+async fn caller_is_told_to_continue_once_earlier_requests_are_answered() {
+    LocalSet::new()
+        .run_until(async {
+            let (address, _phase) = start_delaying_server().await;
+            let mut stream = TcpStream::connect(address).await.expect("a connection");
+            let text = "GET /80 HTTP/1.1\r\n\r\nPOST /1 HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n";
+            stream
+                .write_all(text.as_bytes())
+                .await
+                .expect("a successful write");
+            let received = tokio::time::timeout(
+                Duration::from_secs(10),
+                read_responses(&mut stream, 2),
+            );
+            let received = received.await.expect("100 Continue behind the first reply");
+            let begins = received.find("HTTP/1.1 100 Continue");
+            assert!(begins > received.find("HTTP/1.1 200"), "{received}");
+            stream.write_all(b"abc").await.expect("a successful write");
+            let received = read_responses(&mut stream, 1).await;
+            assert!(received.contains("HTTP/1.1 200"), "{received}");
+        })
+        .await;
+}
+
+/// A caller was told to continue with a body that is refused by its length.
+#[tokio::test]
+async fn caller_is_not_told_to_continue_with_a_body_over_its_limit() {
+    LocalSet::new()
+        .run_until(async {
+            let (address, _phase) = start_delaying_server().await;
+            let text = "POST /1 HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 5000\r\n\r\n";
+            let received = send_and_read(address, text, usize::MAX).await;
+            assert!(received.starts_with("HTTP/1.1 413"), "{received}");
+        })
+        .await;
+}
