--- a/crates/sequoiagw-soak/src/lib.rs
+++ b/crates/sequoiagw-soak/src/lib.rs
@@ -8,6 +8,7 @@
 mod guarantee_checker;
 mod loopback_proxy;
 mod node_process;
+mod refused_pipeline;
 mod soak_fleet;
 mod soak_run;
 mod stopped_pipeline;
--- a/crates/sequoiagw-soak/src/soak_fleet.rs
+++ b/crates/sequoiagw-soak/src/soak_fleet.rs
@@ -22,6 +22,8 @@
 
 use crate::loopback_proxy::LoopbackProxy;
 use crate::node_process::NodeProcess;
+use crate::refused_pipeline::LARGE_ANSWER_BYTES;
+use crate::refused_pipeline::LARGE_PATH;
 use crate::soak_run::SoakOptions;
 use crate::stopped_pipeline::LONG_PATH;
 use crate::stopped_pipeline::LONG_RUN;
@@ -138,6 +140,7 @@
     let service = SERVICES[index % SERVICES.len()];
     let backend = PlatformBackend::start(&name, service, SERVICE_TIME).await;
     backend.set_run_time(LONG_PATH, LONG_RUN);
+    backend.set_answer_bytes(LARGE_PATH, LARGE_ANSWER_BYTES);
     let peer_listen = addresses.next_address();
     let peer_proxy = LoopbackProxy::open(peer_listen).await?;
     let store_proxy = LoopbackProxy::open(store.address()).await?;
--- a/crates/sequoiagw-soak/src/soak_run.rs
+++ b/crates/sequoiagw-soak/src/soak_run.rs
@@ -25,6 +25,7 @@
 use crate::guarantee_checker::GuaranteeKind;
 use crate::guarantee_checker::NamedLimit;
 use crate::guarantee_checker::GUARANTEES;
+use crate::refused_pipeline::run_pipelines;
 use crate::soak_fleet::SoakFleet;
 
 /// Time within which all nodes must become ready at the start.
@@ -192,6 +193,8 @@
             let caller = run_caller(context.clone(), node, caller_seed);
             callers.push(tokio::task::spawn_local(caller));
         }
+        let pipelines = run_pipelines(context.clone(), node, seed * 10_000 + node as u64);
+        callers.push(tokio::task::spawn_local(pipelines));
     }
     callers
 }
