Callers wait for permits that come within 50 ms (quotas without a burst)

Cause: such a workspace's bucket holds 8 permits, or its share of them. An entry asked for up to 0.2 s of its demand in advance; what the bucket didn't hold counted as a backlog, and the answer named over 100 ms. And requests that came close together were all refused although the next permit came in 1 to 10 ms.

Change: a caller waits for at most 50 ms after its arrival if its counter has permits again by then. An entry requests in advance no more than a counter that ran out has granted, twice as much after each such request that is met. What can't be served in time is refused at once as before: a counter under excess demand names longer times.

--- a/crates/sequoiagw-policy/src/workspace_permits.rs
+++ b/crates/sequoiagw-policy/src/workspace_permits.rs
@@ -16,6 +16,9 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(150);
 /// Longest wait of a caller: for the first counter, then for the next one.
 const CALLER_TIMEOUT: Duration = Duration::from_millis(300);
+/// Longest wait of a caller whose counter has run out of permits. Requests that come close together only have to be
+/// spread out, above all without a burst.
+const MAX_REFILL_WAIT: Duration = Duration::from_millis(50);
 /// Longest time for which a refusal holds for further requests without asking again.
 const MAX_REFUSAL_MEMORY: Duration = Duration::from_millis(200);
 /// Uses in 0.2 s from which on a workspace is busy, so that permits are requested in advance. With
@@ -34,6 +37,8 @@
 struct WaitingCaller {
     ticket: PermitTicket,
     deadline: Instant,
+    /// Until when it waits if its counter has run out of permits.
+    refill_deadline: Instant,
 }
 
 /// A request for permits without an answer so far.
@@ -62,6 +67,10 @@
     callers: VecDeque<WaitingCaller>,
     requests: Vec<OpenRequest>,
     refusal: Option<Refusal>,
+    /// Time of the next request for the callers that wait for a refill.
+    refill_at: Option<Instant>,
+    /// Most permits to request in advance: a counter that runs out of permits may hold few at once.
+    advance_limit: u32,
     uses: PermitUses,
     settled: Vec<(PermitTicket, PermitOutcome)>,
 }
@@ -73,6 +82,8 @@
             callers: VecDeque::new(),
             requests: Vec::new(),
             refusal: None,
+            refill_at: None,
+            advance_limit: u32::MAX,
             uses: PermitUses::new(now),
             settled: Vec::new(),
         }
@@ -101,8 +112,11 @@
     }
 
     pub(crate) fn add_caller(&mut self, ticket: PermitTicket, now: Instant) {
-        let deadline = now + CALLER_TIMEOUT;
-        self.callers.push_back(WaitingCaller { ticket, deadline });
+        self.callers.push_back(WaitingCaller {
+            ticket,
+            deadline: now + CALLER_TIMEOUT,
+            refill_deadline: now + MAX_REFILL_WAIT,
+        });
     }
 
     pub(crate) fn remove_caller(&mut self, ticket: PermitTicket) {
@@ -121,18 +135,23 @@
     /// Number of permits to request now, `None` if no request is needed. Beside a request under way
     /// only callers that it doesn't cover are a reason for another one.
     pub(crate) fn needed_permits(&mut self, now: Instant) -> Option<u32> {
+        if self.refill_at.is_some_and(|refill_at| now < refill_at) {
+            return None;
+        }
+        self.refill_at = None;
         let awaited = self.requests.iter().filter(|request| request.awaited);
         let under_way: u32 = awaited.map(|request| request.wanted).sum();
         let waiting = u32::try_from(self.callers.len()).unwrap_or(u32::MAX);
         let forecast = self.uses.recent(now);
+        let advance = forecast.min(self.advance_limit);
         if under_way > 0 {
             return (waiting > under_way).then(|| waiting - under_way);
         }
         if waiting > 0 {
-            return Some(waiting.max(forecast));
+            return Some(waiting.max(advance));
         }
-        let is_low = forecast >= BUSY_USES && self.permits_left(now) < forecast / 2;
-        (is_low && self.remembered_refusal(now).is_none()).then_some(forecast)
+        let is_low = forecast >= BUSY_USES && self.permits_left(now) < advance / 2;
+        (is_low && self.remembered_refusal(now).is_none()).then_some(advance)
     }
 
     fn permits_left(&self, now: Instant) -> u32 {
@@ -141,7 +160,7 @@
     }
 
     /// Handles the answer to a request: callers get permits in the order of their arrival. If the
-    /// counter has none left, the other callers are refused.
+    /// counter has none left, the others wait for a refill, or are refused if it comes too late.
     pub(crate) fn on_grant(&mut self, request: u64, answer: QuotaAnswer, now: Instant) {
         let position = self
             .requests
@@ -163,19 +182,31 @@
         }
         if answer.granted >= open.wanted {
             self.refusal = None;
+            if answer.granted >= self.advance_limit {
+                self.advance_limit = self.advance_limit.saturating_mul(2);
+            }
         } else if !answer.retry_after.is_zero() {
-            self.refuse_callers(answer.retry_after, now);
+            self.advance_limit = answer.granted.max(1);
+            self.await_refill(answer.retry_after, now);
         }
     }
 
-    fn refuse_callers(&mut self, retry_after: Duration, now: Instant) {
-        self.refusal = Some(Refusal {
-            held_until: now + retry_after.min(MAX_REFUSAL_MEMORY),
-            retry_at: now + retry_after,
-        });
-        while !self.callers.is_empty() {
+    /// Lets callers wait until the counter has permits again, and refuses those for which that is too late.
+    fn await_refill(&mut self, retry_after: Duration, now: Instant) {
+        let retry_at = now + retry_after;
+        let is_too_late = |caller: &WaitingCaller| caller.refill_deadline < retry_at;
+        while self.callers.front().is_some_and(is_too_late) {
             self.settle_first(PermitOutcome::Refused { retry_after });
         }
+        if retry_after <= MAX_REFILL_WAIT {
+            self.refusal = None;
+            self.refill_at = Some(retry_at);
+        } else {
+            self.refusal = Some(Refusal {
+                held_until: now + retry_after.min(MAX_REFUSAL_MEMORY),
+                retry_at,
+            });
+        }
     }
 
     fn settle_first(&mut self, outcome: PermitOutcome) {
@@ -239,7 +270,8 @@
             open.sent + wait
         });
         let caller = self.callers.front().map(|caller| caller.deadline);
-        requests.chain(caller).min()
+        let refill = self.refill_at.filter(|_| !self.callers.is_empty());
+        requests.chain(caller).chain(refill).min()
     }
 
     /// Whether nothing of this state matters any more.
--- a/crates/sequoiagw-policy/tests/quota_permits.rs
+++ b/crates/sequoiagw-policy/tests/quota_permits.rs
@@ -265,3 +265,82 @@
         "the place of a caller that left is free"
     );
 }
+
+/// A caller within its quota was refused because its counter had permits again a few milliseconds later.
+#[test]
+fn a_caller_waits_for_a_refill_that_comes_soon() {
+    let start = Instant::now();
+    let (mut cache, ticket, ask) = waiting_cache(start);
+    let empty = |retry_after| QuotaAnswer {
+        granted: 0,
+        retry_after,
+    };
+    cache.on_grant(ask.request, empty(ms(10)), start + ms(2));
+    assert!(cache.take_actions().is_empty(), "the caller waits");
+    let QuotaDecision::Waiting(second) = cache.take(WORKSPACE, start + ms(5)) else {
+        panic!("the next caller waits, too");
+    };
+    assert!(take_asks(&mut cache).is_empty(), "there is nothing yet");
+    assert_eq!(cache.next_wake(), Some(start + ms(12)));
+    cache.on_tick(start + ms(12));
+    let asks = take_asks(&mut cache);
+    let [ask] = &asks[..] else {
+        panic!("one request for both: {asks:?}");
+    };
+    assert_eq!(ask.wanted, 2);
+    cache.on_grant(ask.request, granted(2), start + ms(14));
+    let allowed =
+        [ticket, second].map(|ticket| QuotaAction::Settle(ticket, PermitOutcome::Allowed));
+    assert_eq!(cache.take_actions(), allowed);
+}
+
+/// Guards against callers that wait although the refill comes too late for them.
+#[test]
+fn a_caller_waits_for_refills_for_at_most_a_twentieth_of_a_second() {
+    let start = Instant::now();
+    let (mut cache, ticket, first) = waiting_cache(start);
+    let mut request = first.request;
+    let retry_after = ms(20);
+    for wait in [0, 20] {
+        let answer = QuotaAnswer {
+            granted: 0,
+            retry_after,
+        };
+        cache.on_grant(request, answer, start + ms(wait));
+        assert!(cache.take_actions().is_empty(), "the caller waits");
+        cache.on_tick(start + ms(wait) + retry_after);
+        request = take_asks(&mut cache).pop().expect("a request").request;
+    }
+    let answer = QuotaAnswer {
+        granted: 0,
+        retry_after,
+    };
+    cache.on_grant(request, answer, start + ms(40));
+    let refused = PermitOutcome::Refused { retry_after };
+    assert_eq!(cache.take_actions(), [QuotaAction::Settle(ticket, refused)]);
+}
+
+/// A counter that holds few permits was asked for many in advance, and told callers to return after the time that
+/// all of them would have taken.
+#[test]
+fn no_more_is_requested_in_advance_than_a_counter_that_ran_out_has_granted() {
+    let start = Instant::now();
+    let mut cache = QuotaCache::new(0);
+    let mut now = start;
+    let mut wanted = Vec::new();
+    for _ in 0..200 {
+        now += ms(2);
+        cache.on_tick(now);
+        cache.take(WORKSPACE, now);
+        for ask in take_asks(&mut cache) {
+            let answer = QuotaAnswer {
+                granted: ask.wanted.min(8),
+                retry_after: ms(u64::from(ask.wanted > 8)),
+            };
+            wanted.push(ask.wanted);
+            cache.on_grant(ask.request, answer, now);
+        }
+    }
+    assert!(wanted.len() > 15, "{wanted:?}");
+    assert!(wanted.iter().all(|wanted| *wanted <= 16), "{wanted:?}");
+}
