Counters in much use look which nodes they reach (QUOTA)

Cause: a counter probed the fleet only while its bucket ran short. The first counter's bucket was full when the fleet was divided, and its part asked for 0.62 of the rate, so the bucket never ran short: the counter took the whole fleet for its own and granted all of it, beside 0.25 of the rate by each of the other three.

Change: while more than a tenth of a rate and 2 permits a second are granted from a bucket, its node probes 4 others each 0.5 s. One that doesn't answer leads to a probe of all, as before.

Evidence: demand_that_rises_in_four_parts_stays_within_the_bound used 5,623 of 5,300 before and passes.

--- a/crates/sequoiagw-mesh/src/core_quotas.rs
+++ b/crates/sequoiagw-mesh/src/core_quotas.rs
@@ -81,6 +81,8 @@
                 let answer = quotas.ledger.grant(name, limit, wanted, mandate, now);
                 if quotas.ledger.is_short(name) {
                     quotas.on_shortage(now);
+                } else if quotas.ledger.is_in_much_use(name, limit) {
+                    quotas.on_much_use(now);
                 }
                 let record = GrantRecord {
                     asker: from,
@@ -294,7 +296,7 @@
         }
     }
 
-    /// Probes nodes of the fleet while a bucket of this node runs short.
+    /// Probes nodes of the fleet while a bucket of this node runs short or is in much use.
     fn send_reach_probes(&mut self, now: Instant) {
         let Some(quotas) = &mut self.quotas else {
             return;
--- a/crates/sequoiagw-mesh/src/lib.rs
+++ b/crates/sequoiagw-mesh/src/lib.rs
@@ -106,6 +106,7 @@
 pub use quota_contacts::QuotaContacts;
 pub use quota_counter::first_counter;
 pub use reach_monitor::FleetReach;
+pub use reach_monitor::ProbePurpose;
 pub use reach_monitor::ReachMonitor;
 pub use reach_monitor::ReachProbe;
 pub use registration_change::RegistrationChange;
--- a/crates/sequoiagw-mesh/src/node_quotas.rs
+++ b/crates/sequoiagw-mesh/src/node_quotas.rs
@@ -14,6 +14,7 @@
 use crate::grant_log::GrantLog;
 use crate::FleetReach;
 use crate::MeshSettings;
+use crate::ProbePurpose;
 use crate::QuotaContacts;
 use crate::QuotaSettings;
 use crate::ReachMonitor;
@@ -24,8 +25,8 @@
 const PAUSE_TIME: Duration = Duration::from_secs(2);
 /// Time for which an estimate of the reached part of the fleet is used.
 const REACH_RETENTION: Duration = Duration::from_millis(20);
-/// Time for which nodes are probed after a bucket of this node ran short. A bucket that doesn't grants what
-/// it is asked for in any case.
+/// Time for which nodes are probed after a bucket of this node ran short or was used so much that the fleet may
+/// have gone over the quota together with the counters of other parts.
 const PROBING_TIME: Duration = Duration::from_secs(1);
 
 /// State of quotas at a node.
@@ -43,8 +44,10 @@
     counting_since: Instant,
     last_activity: Instant,
     latest_reach: Option<(Instant, FleetReach)>,
-    /// Until when nodes are probed.
+    /// Until when nodes are probed to measure which part is reached.
     probing_until: Instant,
+    /// Until when nodes are probed to notice a cut.
+    watching_until: Instant,
     /// First counters in whose place this node was asked, with the time of the latest request.
     replaced_counters: BTreeMap<NodeId, Instant>,
 }
@@ -69,6 +72,7 @@
             last_activity: now,
             latest_reach: None,
             probing_until: now,
+            watching_until: now,
             replaced_counters: BTreeMap::new(),
         }
     }
@@ -111,9 +115,17 @@
 
     /// Records that a bucket of this node has run short.
     pub(crate) fn on_shortage(&mut self, now: Instant) {
+        if now >= self.probing_until {
+            self.reach.hasten_round(now);
+        }
         self.probing_until = now + PROBING_TIME;
     }
 
+    /// Records that a bucket of this node is in much use.
+    pub(crate) fn on_much_use(&mut self, now: Instant) {
+        self.watching_until = now + PROBING_TIME;
+    }
+
     /// Records that this node was asked in the place of a first counter.
     pub(crate) fn on_replacement(&mut self, first: NodeId, now: Instant) {
         self.replaced_counters.insert(first, now);
@@ -123,7 +135,14 @@
 
     /// Time of the next probes of the fleet's nodes, `None` if none are needed.
     pub(crate) fn next_probes(&self, now: Instant) -> Option<Instant> {
-        (now < self.probing_until).then(|| self.reach.next_round())
+        self.probe_purpose(now).map(|_| self.reach.next_round())
+    }
+
+    fn probe_purpose(&self, now: Instant) -> Option<ProbePurpose> {
+        if now < self.probing_until {
+            return Some(ProbePurpose::Measure);
+        }
+        (now < self.watching_until).then_some(ProbePurpose::Watch)
     }
 
     /// Probes of the fleet's nodes that are due.
@@ -135,11 +154,11 @@
     where
         Generator: Rng,
     {
-        if now >= self.probing_until {
+        let Some(purpose) = self.probe_purpose(now) else {
             return Vec::new();
-        }
+        };
         self.reach.check_overdue(now);
         let watched: Vec<NodeId> = self.replaced_counters.keys().copied().collect();
-        self.reach.start_round(&watched, rng, now)
+        self.reach.start_round(purpose, &watched, rng, now)
     }
 }
--- a/crates/sequoiagw-mesh/src/reach_monitor.rs
+++ b/crates/sequoiagw-mesh/src/reach_monitor.rs
@@ -22,10 +22,12 @@
 /// Time without an answer after which a node counts as not running. A running node that is slow to answer
 /// may still grant permits.
 const RUNNING_TIMEOUT: Duration = Duration::from_millis(1500);
-/// Interval between rounds of probes.
+/// Interval between rounds of probes while grants depend on the reached part, and otherwise.
 const ROUND_INTERVAL: Duration = Duration::from_millis(250);
-/// Nodes probed in a round at random.
+const WATCH_INTERVAL: Duration = Duration::from_millis(500);
+/// Nodes probed in such rounds at random.
 const SAMPLED_NODES: usize = 8;
+const WATCHED_NODES: usize = 4;
 /// Unreached nodes probed in a round, those first that weren't for the longest time.
 const RETRIED_NODES: usize = 8;
 /// Nodes probed in a round once one has become unreached or reached again, until all are.
@@ -46,6 +48,15 @@
     pub answer_ratio: f64,
 }
 
+/// What probes are for.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProbePurpose {
+    /// To know which part of the fleet is reached, since grants depend on it.
+    Measure,
+    /// To notice that a part isn't reached any more.
+    Watch,
+}
+
 /// A probe to a node, to be sent with this number.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct ReachProbe {
@@ -217,10 +228,18 @@
         self.next_round
     }
 
+    /// Ends the longer wait for the next round of [`ProbePurpose::Watch`].
+    pub fn hasten_round(&mut self, now: Instant) {
+        if self.next_round > now + ROUND_INTERVAL {
+            self.next_round = now;
+        }
+    }
+
     /// Returns the probes to send if a round is due: to some nodes at random, to unreached ones, to
     /// `watched`, and during a sweep to those that weren't probed in it.
     pub fn start_round<Generator>(
         &mut self,
+        purpose: ProbePurpose,
         watched: &[NodeId],
         rng: &mut Generator,
         now: Instant,
@@ -231,7 +250,12 @@
         if now < self.next_round {
             return Vec::new();
         }
-        self.next_round = now + ROUND_INTERVAL;
+        let is_changing = self.is_sweep_due || self.is_sweeping;
+        let (interval, sampled_nodes) = match purpose {
+            ProbePurpose::Watch if !is_changing => (WATCH_INTERVAL, WATCHED_NODES),
+            ProbePurpose::Watch | ProbePurpose::Measure => (ROUND_INTERVAL, SAMPLED_NODES),
+        };
+        self.next_round = now + interval;
         if self.is_sweep_due && self.may_sweep(now) {
             self.is_sweep_due = false;
             self.is_sweeping = true;
@@ -239,7 +263,7 @@
         }
         let mut chosen = self.unreached_in_turn();
         let others = self.others.iter().copied();
-        chosen.extend(others.choose_multiple(rng, SAMPLED_NODES));
+        chosen.extend(others.choose_multiple(rng, sampled_nodes));
         chosen.extend(watched.iter().filter(|node| self.others.contains(node)));
         let unswept = self.unswept_nodes(rng);
         self.is_sweeping = !unswept.is_empty();
--- a/crates/sequoiagw-mesh/tests/quota_fleet/fleet_partitions.rs
+++ b/crates/sequoiagw-mesh/tests/quota_fleet/fleet_partitions.rs
@@ -11,7 +11,8 @@
 
 const FLEET_SIZE: usize = 71;
 const RATE_PER_S: f64 = 800.0;
-/// Usual demand, and that of a surge.
+/// Low and usual demand, and that of a surge.
+const LOW_PER_S: f64 = 320.0;
 const USUAL_PER_S: f64 = 500.0;
 const SURGE_PER_S: f64 = 3500.0;
 /// Nodes in a cut of a third of the fleet.
@@ -113,6 +114,22 @@
     }
 }
 
+/// QUOTA: the first counter's bucket was full when the fleet was divided, and its part asked for less than the whole
+/// rate. It didn't look which nodes it reached, and granted more than its part beside the other counters.
+#[test]
+fn demand_that_rises_in_four_parts_stays_within_the_bound() {
+    for limit in limits() {
+        let mut fleet = QuotaFleet::start(FLEET_SIZE, 10, &[("large", limit)]);
+        run(&mut fleet, LOW_PER_S, seconds(4));
+        for node in fleet.all() {
+            fleet.set_part(&[node], node / 3 % 4);
+        }
+        run(&mut fleet, LOW_PER_S, seconds(2));
+        run(&mut fleet, 2.5 * RATE_PER_S, seconds(12));
+        fleet.assert_within_bound("large", limit);
+    }
+}
+
 /// QUOTA: a counter that hears from nodes that it can't reach takes them for its own.
 #[test]
 fn links_that_are_cut_one_way_leave_the_bound_intact() {
--- a/crates/sequoiagw-mesh/tests/reach_monitor.rs
+++ b/crates/sequoiagw-mesh/tests/reach_monitor.rs
@@ -5,6 +5,7 @@
 
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
+use sequoiagw_mesh::ProbePurpose;
 use sequoiagw_mesh::ReachMonitor;
 use sequoiagw_mesh::ReachProbe;
 use sequoiagw_protocol::NodeId;
@@ -20,6 +21,7 @@
 /// A monitor in a fleet with a simulated network.
 struct MonitoredFleet {
     monitor: ReachMonitor,
+    purpose: ProbePurpose,
     rng: ChaCha8Rng,
     now: Instant,
     /// Nodes that answer probes.
@@ -38,6 +40,7 @@
         monitor.set_nodes(nodes.clone());
         Self {
             monitor,
+            purpose: ProbePurpose::Measure,
             rng: ChaCha8Rng::seed_from_u64(size),
             now,
             answering: nodes,
@@ -58,7 +61,9 @@
         let end = self.now + time;
         while self.now < end {
             self.monitor.check_overdue(self.now);
-            let probes = self.monitor.start_round(&[], &mut self.rng, self.now);
+            let probes = self
+                .monitor
+                .start_round(self.purpose, &[], &mut self.rng, self.now);
             self.sent += probes.len();
             let due = self.now + self.delay;
             let probes = probes.into_iter().map(|probe| (due, probe));
@@ -154,3 +159,24 @@
     fleet.run(seconds(3));
     assert_eq!(fleet.monitor.is_running(slow, fleet.now), Some(false));
 }
+
+/// Guards against a watch that costs as much as a measurement in quiet times, or that doesn't notice a cut.
+#[test]
+fn watch_costs_little_and_notices_a_cut_of_a_third() {
+    for size in [71, 660] {
+        let mut fleet = MonitoredFleet::start(size);
+        fleet.purpose = ProbePurpose::Watch;
+        let calm = fleet.run(seconds(10)) / 10;
+        assert!(calm <= MAX_BYTES_PER_S / 10, "{size} nodes: {calm} B/s");
+        assert!(fleet.share() > 0.999, "{size} nodes: {}", fleet.share());
+        let left = size * 2 / 3;
+        let part = left as f64 / size as f64;
+        fleet.cut_above(left, size);
+        fleet.run(seconds(2));
+        let early = fleet.share();
+        assert!((early - part).abs() < 0.12, "{size} nodes: {early}");
+        fleet.run(seconds(6));
+        let late = fleet.share();
+        assert!((late - part).abs() < 0.01, "{size} nodes: {late}");
+    }
+}
--- a/crates/sequoiagw-policy/src/quota_ledger.rs
+++ b/crates/sequoiagw-policy/src/quota_ledger.rs
@@ -38,6 +38,13 @@
 const NO_PART_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Longest retry delay.
 const MAX_RETRY_DELAY: Duration = Duration::from_secs(60);
+/// Part of the rate that a counter may grant without knowing which part of the fleet it reaches: with it, the
+/// counters of other parts stay within the overrun that each quota allows.
+const UNWATCHED_SHARE: f64 = 0.1;
+/// Permits per second that it may grant beyond that, within the tolerance.
+const UNWATCHED_PER_S: f64 = 2.0;
+/// Time over which a bucket's use is counted.
+const USE_WINDOW: Duration = Duration::from_secs(1);
 /// Tolerance of comparisons with whole tokens; sums of refills are rounded.
 const TOKEN_ROUNDING: f64 = 1e-9;
 
@@ -82,6 +89,10 @@
     capacity: f64,
     /// Permits that were requested and not granted, and for which the callers return later.
     backlog: f64,
+    /// Permits granted in the present use window, and in the one before.
+    used: u32,
+    used_before: u32,
+    window_started: Instant,
     started: Instant,
     updated: Instant,
 }
@@ -136,7 +147,9 @@
                     bucket.restart_if_idle(capacity, now);
                 }
                 bucket.refill(limit, mandate, capacity, now);
-                bucket.take(wanted, bucket.refill_rate(limit, mandate, now))
+                let answer = bucket.take(wanted, bucket.refill_rate(limit, mandate, now));
+                bucket.record_use(answer.granted, now);
+                answer
             })
     }
 
@@ -151,6 +164,14 @@
         bucket.is_some_and(|bucket| bucket.tokens < bucket.capacity / 2.0)
     }
 
+    /// Whether so many permits of a workspace were granted in the last second that the counters of other parts of
+    /// the fleet, if there are any, could go over the quota together with this one.
+    pub fn is_in_much_use(&self, workspace: &str, limit: QuotaLimit) -> bool {
+        let unwatched = UNWATCHED_SHARE * limit.rate_per_s + UNWATCHED_PER_S;
+        let bucket = self.buckets.get(workspace);
+        bucket.is_some_and(|bucket| f64::from(bucket.used.max(bucket.used_before)) > unwatched)
+    }
+
     /// Starts all buckets anew after the process was paused: another node has counted meanwhile.
     pub fn reset(&mut self, now: Instant) {
         self.buckets.clear();
@@ -190,6 +211,9 @@
             tokens: 0.0,
             capacity: 0.0,
             backlog: 0.0,
+            used: 0,
+            used_before: 0,
+            window_started: started,
             started,
             updated: started,
         }
@@ -219,6 +243,16 @@
         self.updated = now.max(self.updated);
     }
 
+    fn record_use(&mut self, granted: u32, now: Instant) {
+        if now >= self.window_started + USE_WINDOW {
+            let is_next = now < self.window_started + 2 * USE_WINDOW;
+            self.used_before = if is_next { self.used } else { 0 };
+            self.used = 0;
+            self.window_started = now;
+        }
+        self.used = self.used.saturating_add(granted);
+    }
+
     /// Tokens per second that the bucket gets now.
     fn refill_rate(&self, limit: QuotaLimit, mandate: CounterMandate, now: Instant) -> f64 {
         let phase_share = if now < self.started + START_PHASE {
